Add the design page, message schemas and package interfaces

The design fixes packages, interfaces, state ownership, messages and failure handling. Error kinds, header fields, logs, metrics and abstract classes are in place, so that packages can be written independently of each other.

--- /dev/null
+++ b/packages/calls/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Data path of calls: HTTP edge, streaming dispatch, deadlines, cancellation and forwarding.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/command_line/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The oleanderdeck command.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/daemon/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The oleanderdeckd process: start, wiring, warm-up and graceful stop.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/errors/deck_error.ts
@@ -0,0 +1,39 @@
+import { ERROR_ANSWERS, type ErrorKind, type Run } from "./error_kind.ts";
+
+/** Options of {@linkcode DeckError}. */
+export interface DeckErrorOptions {
+  /** What happened, a sentence without a full stop; the kind's text if absent. */
+  readonly message?: string;
+  /** Whether the request was run, where it is known better than by the kind. */
+  readonly run?: Run;
+  /** Time to wait before a retry, in milliseconds; the kind's if absent. */
+  readonly retryAfterMs?: number;
+  /** Error that caused this one. */
+  readonly cause?: unknown;
+}
+
+/**
+ * An expected error of a closed list of kinds. Functions return it on the left
+ * side of an `Either`; RPC handlers and the call edge turn it into an answer.
+ */
+export class DeckError extends Error {
+  override readonly name = "DeckError";
+  /** Kind of the error. */
+  readonly kind: ErrorKind;
+  /** Whether the request was run. */
+  readonly run: Run;
+  /** Time to wait before a retry, in milliseconds. */
+  readonly retryAfterMs: number;
+
+  /**
+   * @param kind Kind of the error.
+   * @param options Text and details that differ from those of the kind.
+   */
+  constructor(kind: ErrorKind, options: DeckErrorOptions = {}) {
+    const defaults = ERROR_ANSWERS[kind];
+    super(options.message ?? defaults.text, { cause: options.cause });
+    this.kind = kind;
+    this.run = options.run ?? defaults.run;
+    this.retryAfterMs = options.retryAfterMs ?? defaults.retryAfterMs;
+  }
+}
--- /dev/null
+++ b/packages/errors/error_kind_test.ts
@@ -0,0 +1,30 @@
+import { expect, test } from "vitest";
+import { DeckError } from "./deck_error.ts";
+import { ERROR_ANSWERS, ERROR_KINDS, isErrorKind } from "./error_kind.ts";
+
+// Guards against a refusal that invites retries without a time to wait.
+test("retryable kinds other than permit_required name a wait", () => {
+  const withoutWait = ERROR_KINDS.filter((kind) =>
+    ERROR_ANSWERS[kind].retryable && ERROR_ANSWERS[kind].retryAfterMs === 0
+  );
+  expect(withoutWait).toEqual(["permit_required"]);
+});
+
+// Guards against texts that break the rule for error messages.
+test("texts are sentences without a full stop", () => {
+  ERROR_KINDS.forEach((kind) =>
+    expect(ERROR_ANSWERS[kind].text).toMatch(/^[A-Z].*[^.]$/)
+  );
+});
+
+// Guards against accepting inherited property names as kinds.
+test("isErrorKind refuses inherited names", () => {
+  expect(isErrorKind("toString")).toBe(false);
+  expect(isErrorKind("queue_full")).toBe(true);
+});
+
+// Guards against losing a more exact statement than the table's.
+test("DeckError keeps an explicit run", () => {
+  expect(new DeckError("connection_lost").run).toBe("unknown");
+  expect(new DeckError("connection_lost", { run: "no" }).run).toBe("no");
+});
--- /dev/null
+++ b/packages/idempotency/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Permits and the ledger of non-idempotent requests.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/load/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Load generator with a latency histogram and a JSON report.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/observability/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * What operators see of a process: one line of `key=value` pairs for each
+ * event, and metrics with a counter for each refusal and retry reason.
+ *
+ * @module
+ */
+
+export * from "./event_log.ts";
+export * from "./metrics.ts";
--- /dev/null
+++ b/packages/operator/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Operator RPC service.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/protocol/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Messages of the system: the protobuf schemas of the operator RPC, the peer
+ * RPC and the peer datagrams as generated code, and the names of the HTTP
+ * header fields of calls.
+ *
+ * @module
+ */
+
+export * from "./fields.ts";
+export * from "./generated/oleanderdeck/operator/v1/operator_pb.ts";
+export * from "./generated/oleanderdeck/peer/v1/peer_pb.ts";
--- /dev/null
+++ b/packages/routing/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Choice of a worker among those with free slots.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/testing/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Stand-ins, seeded fault schedules and invariant checks.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,35 @@
+// Bundles each program, a file named <program>_main.ts in a package or in
+// bench/, into dist/<program>.mjs. Third-party packages stay external, so that
+// only the code of this repository is bundled.
+import { readdirSync, readFileSync } from "node:fs";
+import { basename, join } from "node:path";
+import { build } from "esbuild";
+
+const manifest = JSON.parse(readFileSync("package.json", "utf8"));
+
+function programs(directory) {
+  return readdirSync(directory, { withFileTypes: true })
+    .filter((entry) => entry.name !== "node_modules")
+    .flatMap((entry) => {
+      const path = join(directory, entry.name);
+      if (entry.isDirectory()) return programs(path);
+      return entry.name.endsWith("_main.ts") ? [path] : [];
+    });
+}
+
+const paths = ["packages", "bench"].flatMap(programs);
+
+await build({
+  entryPoints: Object.fromEntries(
+    paths.map((path) => [basename(path, "_main.ts"), path]),
+  ),
+  outdir: "dist",
+  outExtension: { ".js": ".mjs" },
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "esm",
+  sourcemap: true,
+  external: Object.keys(manifest.dependencies),
+  logLevel: "warning",
+});
