Carry configuration versions on probes and add peer keys

A member record is disseminated to the whole fleet at each change, so a digest of the configuration in it would spread 5,100 records per configuration change. Probes carry it instead, and a rollout report asks the members.

--- a/packages/membership/member_view.ts
+++ b/packages/membership/member_view.ts
@@ -1,4 +1,9 @@
-import type { Datagram, Member, Worker } from "@oleanderdeck/protocol";
+import type {
+  Datagram,
+  HeldConfiguration,
+  Member,
+  Worker,
+} from "@oleanderdeck/protocol";
 
 /** Message that a datagram carries. */
 export type PeerMessage = Exclude<Datagram["body"], { case: undefined }>;
@@ -62,6 +67,6 @@
   /** Replaces what the node tells about its worker. */
   abstract setWorker(worker: Worker | undefined): void;
 
-  /** Replaces what the node tells about its configuration. */
-  abstract setConfiguration(digest: bigint, version: number): void;
+  /** Sets the source of what probes tell about the node's configuration. */
+  abstract setConfigurationSource(source: () => HeldConfiguration): void;
 }
--- a/packages/membership/mod.ts
+++ b/packages/membership/mod.ts
@@ -6,3 +6,4 @@
  */
 
 export * from "./member_view.ts";
+export * from "./peer_keys.ts";
