Limit the calls of an organisation over the whole graph

Root calls of an organisation enter at any node, so no node can count them alone. Four keepers by rendezvous hashing over live members grant an equal part each to the nodes that call. A keeper that took over within the last term grants only what the holders hold from its predecessor, and holders keep a dead keeper's part for one term, so that the limit is neither exceeded nor left unused while a keeper dies.

Amounts are in thousandths of a call per second, since many nodes may share a small limit.

--- a/packages/admission/_admission_context.ts
+++ b/packages/admission/_admission_context.ts
@@ -14,7 +14,7 @@
   readonly shedding: boolean;
   /** Thresholds of downstream services apply to upstream calls. */
   readonly pressure: boolean;
-  /** Shares by organisation weight; without them all count as one. */
+  /** Shares of organisations; without them all count as one. */
   readonly fairShares: boolean;
   /** Order by priority; without it all requests count as `normal`. */
   readonly priorities: boolean;
@@ -51,6 +51,8 @@
   readonly mechanisms: AdmissionMechanisms;
   /** Weight of an organisation, above 0. */
   readonly weight: (organisation: string) => number;
+  /** Counts a root call and tells whether the organisation's limit allows it. */
+  readonly takeRate: (organisation: string) => boolean | Promise<boolean>;
   /** Is called when a slot of the own worker was given back. */
   readonly onOwnSlot: () => void;
   /** Is called when the threshold of a service may have changed. */
--- /dev/null
+++ b/packages/admission/_rate_limits.ts
@@ -0,0 +1,84 @@
+import type { PolicyView } from "@oleanderdeck/agreement";
+import {
+  KeeperRanking,
+  LoopbackChannel,
+  RateLease,
+  RateLeaseKeeper,
+} from "@oleanderdeck/leases";
+import type { MemberView, PeerChannel } from "@oleanderdeck/membership";
+import type { Clock } from "@oleanderdeck/settings";
+
+/** Collaborators of {@linkcode RateLimits}. */
+export interface RateLimitsOptions {
+  readonly members: MemberView;
+  readonly channel: PeerChannel;
+  readonly clock: Clock;
+  readonly policies: () => PolicyView;
+}
+
+/** Limits of organisations over the whole graph, as holder and as keeper. */
+export class RateLimits {
+  readonly #options: RateLimitsOptions;
+  readonly #channel: PeerChannel;
+  readonly #ranking: KeeperRanking;
+  readonly #keeper: RateLeaseKeeper;
+  readonly #leases = new Map<string, RateLease>();
+
+  /** @param options Collaborators of the node. */
+  constructor(options: RateLimitsOptions) {
+    this.#options = options;
+    this.#channel = new LoopbackChannel(options.channel, options.members);
+    this.#ranking = new KeeperRanking(options);
+    this.#keeper = new RateLeaseKeeper({
+      ...options,
+      channel: this.#channel,
+      ranking: this.#ranking,
+      limit: (organisation) => this.#limit(organisation),
+    });
+  }
+
+  /**
+   * Counts a root call.
+   *
+   * @returns Whether the limit allows it; a promise only for the first calls of
+   * an organisation, before the keepers have answered.
+   */
+  take(organisation: string): boolean | Promise<boolean> {
+    if (this.#limit(organisation) === undefined) return true;
+    const lease = this.#lease(organisation);
+    if (lease.ready) return lease.take();
+    return lease.whenReady().then(() => lease.take());
+  }
+
+  /** Calls per second that this node may make; undefined without a limit. */
+  callsPerSecond(organisation: string): number | undefined {
+    return this.#leases.get(organisation)?.callsPerSecond();
+  }
+
+  /** Gives all leases back. */
+  close(): void {
+    for (const lease of this.#leases.values()) lease.close();
+    this.#keeper.close();
+    this.#ranking.close();
+  }
+
+  #limit(organisation: string): number | undefined {
+    return this.#options.policies().organisation(organisation)?.callsPerSecond;
+  }
+
+  #lease(organisation: string): RateLease {
+    let lease = this.#leases.get(organisation);
+    if (lease === undefined) {
+      lease = new RateLease({
+        ...this.#options,
+        channel: this.#channel,
+        organisation,
+        ranking: this.#ranking,
+        limit: () => this.#limit(organisation) ?? 0,
+        onIdle: () => this.#leases.delete(organisation),
+      });
+      this.#leases.set(organisation, lease);
+    }
+    return lease;
+  }
+}
--- a/packages/admission/_service_admission.ts
+++ b/packages/admission/_service_admission.ts
@@ -180,15 +180,18 @@
     if (this.#unavailable(request)) {
       return Left(new DeckError(this.#unavailable(request)!));
     }
-    this.#demand.record(request.priority, request.organisation);
-    if (this.#queue.length === 0) {
-      const slot = this.#acquire(request);
-      if (slot !== undefined) {
-        this.#shedding.recordStart(0);
-        return Right(this.#admitted(request, slot));
+    if (request.countsForLimit && !request.forwarded) {
+      const allowed = this.#context.takeRate(request.organisation);
+      if (allowed instanceof Promise) {
+        return allowed.then((later) =>
+          later
+            ? this.#place(request, signal)
+            : Left(new DeckError("organisation_limit"))
+        );
       }
+      if (!allowed) return Left(new DeckError("organisation_limit"));
     }
-    return this.#wait(request, now, signal);
+    return this.#place(request, signal);
   }
 
   /** Starts waiting attempts while slots are free. */
@@ -227,6 +230,21 @@
     this.#task?.abort();
   }
 
+  #place(
+    request: AdmissionRequest,
+    signal: AbortSignal | undefined,
+  ): Answer | Promise<Answer> {
+    this.#demand.record(request.priority, request.organisation);
+    if (this.#queue.length === 0) {
+      const slot = this.#acquire(request);
+      if (slot !== undefined) {
+        this.#shedding.recordStart(0);
+        return Right(this.#admitted(request, slot));
+      }
+    }
+    return this.#wait(request, this.#context.clock.now(), signal);
+  }
+
   #unavailable(request: AdmissionRequest): ErrorKind | undefined {
     if (this.#placement === "own worker") {
       const worker = this.#context.owner.worker;
--- a/packages/admission/capacity_admission.ts
+++ b/packages/admission/capacity_admission.ts
@@ -18,6 +18,7 @@
   ALL_MECHANISMS,
 } from "./_admission_context.ts";
 import { CallRatios } from "./_call_ratios.ts";
+import { RateLimits } from "./_rate_limits.ts";
 import { ServiceAdmission } from "./_service_admission.ts";
 import { levelOf, OPEN_THRESHOLD } from "./_shedding.ts";
 import { UsageAccounts } from "./_usage.ts";
@@ -78,6 +79,7 @@
   readonly #context: AdmissionContext;
   readonly #services = new Map<string, ServiceAdmission>();
   readonly #ratios = new CallRatios();
+  readonly #rates: RateLimits | undefined;
   readonly #removeListener: () => void;
   #forwarded: ServiceAdmission | undefined;
   #closed = false;
@@ -87,9 +89,7 @@
     super();
     const mechanisms = { ...ALL_MECHANISMS, ...options.mechanisms };
     const weight = (organisation: string) =>
-      mechanisms.fairShares
-        ? options.policies().organisation(organisation)?.weight ?? 1
-        : 1;
+      options.policies().organisation(organisation)?.weight ?? 1;
     const owner = new SlotLeaseOwner({
       ...options,
       weight,
@@ -106,9 +106,11 @@
       weight,
       owner,
       usage: new UsageAccounts(),
+      takeRate: (organisation) => this.#rates?.take(organisation) ?? true,
       onOwnSlot: () => this.#drainOwn(),
       onThreshold: () => owner.pushThreshold(),
     };
+    this.#rates = mechanisms.rateLimits ? new RateLimits(options) : undefined;
     this.#removeListener = options.members.onChange(() => {
       for (const service of this.#services.values()) service.refreshMembers();
     });
@@ -190,6 +192,7 @@
     const load = service.load();
     const level = levelOf(request);
     const refusal = service.refusal(this.#effective(request), threshold);
+    const rate = this.#rates?.callsPerSecond(request.organisation);
     const waitMs = Math.round(service.expectedWaitMs(request.priority));
     return {
       refusal: refusal?.kind,
@@ -197,6 +200,9 @@
         `The level of the request is ${level} and the threshold ${threshold}`,
         `${load.running} calls run and ${load.queued} wait for ${load.slots} slots`,
         `The expected wait is ${waitMs} ms`,
+        ...rate === undefined ? [] : [
+          `The organisation may make ${rate.toFixed(1)} calls/s on this node`,
+        ],
         refusal?.message ?? "The request would be admitted",
       ],
     };
@@ -237,6 +243,7 @@
     for (const service of this.#services.values()) service.close();
     this.#forwarded?.close();
     this.#context.owner.close();
+    this.#rates?.close();
     return Promise.resolve();
   }
 
@@ -267,9 +274,13 @@
   }
 
   #effective(request: AdmissionRequest): AdmissionRequest {
-    return this.#context.mechanisms.priorities
-      ? request
-      : { ...request, priority: NORMAL };
+    const { fairShares, priorities } = this.#context.mechanisms;
+    if (fairShares && priorities) return request;
+    return {
+      ...request,
+      organisation: fairShares ? request.organisation : "",
+      priority: priorities ? request.priority : NORMAL,
+    };
   }
 
   #thresholdFor(request: AdmissionRequest): number {
--- /dev/null
+++ b/packages/leases/rate_lease.ts
@@ -0,0 +1,226 @@
+import { LeaseKind } from "@oleanderdeck/protocol";
+import type { MemberView, PeerChannel } from "@oleanderdeck/membership";
+import type { Clock } from "@oleanderdeck/settings";
+import { LeaseLink } from "./_lease_link.ts";
+import type { KeeperRanking } from "./keeper_ranking.ts";
+import { RATE_TERM_MS } from "./lease_timing.ts";
+import { RATE_UNIT } from "./rate_lease_keeper.ts";
+
+/** Time over which unused rate is kept; bounds a burst to a tenth of a second. */
+const BURST_SECONDS = 0.1;
+
+/** Room above the observed rate in the reported demand. */
+const HEADROOM = 1.2;
+
+/** Weight of a second in a falling rate of calls. */
+const RATE_WEIGHT = 0.3;
+
+/** Time without calls after which the leases are given back. */
+const IDLE_MS = 30_000;
+
+/** Longest wait for the first grants of an organisation. */
+const FIRST_GRANT_MS = 250;
+
+/** Options of {@linkcode RateLease}. */
+export interface RateLeaseOptions {
+  readonly organisation: string;
+  readonly members: MemberView;
+  readonly channel: PeerChannel;
+  readonly clock: Clock;
+  readonly ranking: KeeperRanking;
+  /** Limit of the organisation in calls per second. */
+  readonly limit: () => number;
+  /** Is called when the lease has closed itself for lack of calls. */
+  readonly onIdle: () => void;
+}
+
+/** Part of the rate that was held from a keeper that left. */
+interface Inheritance {
+  readonly amount: number;
+  readonly until: number;
+}
+
+const NOTHING: Inheritance = { amount: 0, until: 0 };
+
+interface KeeperLink {
+  readonly link: LeaseLink;
+  readonly inheritance: Inheritance;
+}
+
+/**
+ * Part of an organisation's limit that this node may use: the sum of what the
+ * keepers grant. Where a keeper has granted nothing yet, the node uses an even
+ * part of that keeper's share, so that calls are possible while keepers start.
+ */
+export class RateLease {
+  readonly #options: RateLeaseOptions;
+  readonly #links = new Map<string, KeeperLink>();
+  #orphans: readonly Inheritance[] = [];
+  #rankingVersion = -1;
+  #tokens = 0;
+  #refilledAt: number;
+  #arrived = 0;
+  #countedAt: number;
+  #perSecond = 0;
+  #lastCallAt: number;
+  #ready = false;
+  readonly #waiting: (() => void)[] = [];
+
+  /** @param options Organisation and collaborators. */
+  constructor(options: RateLeaseOptions) {
+    this.#options = options;
+    const now = options.clock.now();
+    this.#refilledAt = now;
+    this.#countedAt = now;
+    this.#lastCallAt = now;
+    this.#refreshKeepers(now);
+    void options.clock.sleep(FIRST_GRANT_MS).then(() => this.#becomeReady());
+  }
+
+  /** Whether the keepers have answered, or the wait for them is over. */
+  get ready(): boolean {
+    return this.#ready;
+  }
+
+  /** Resolves when {@linkcode RateLease.ready} is true. */
+  whenReady(): Promise<void> {
+    if (this.#ready) return Promise.resolve();
+    return new Promise((resolve) => this.#waiting.push(resolve));
+  }
+
+  /** Calls per second that this node may make now. */
+  callsPerSecond(): number {
+    const { clock, limit, ranking, organisation } = this.#options;
+    const now = clock.now();
+    const share = limit() / Math.max(1, ranking.keepers(organisation).length);
+    let rate = 0;
+    for (const { link, inheritance } of this.#links.values()) {
+      const lease = link.lease();
+      if (lease !== undefined && lease.amount > 0) {
+        rate += lease.amount * RATE_UNIT;
+      } else if (inheritance.until > now) {
+        rate += inheritance.amount * RATE_UNIT;
+      } else {
+        rate += share / Math.max(1, ranking.liveCount);
+      }
+    }
+    for (const orphan of this.#orphans) {
+      if (orphan.until > now) rate += orphan.amount * RATE_UNIT;
+    }
+    return rate;
+  }
+
+  /** Counts a call and takes a token for it. */
+  take(): boolean {
+    const now = this.#options.clock.now();
+    this.#lastCallAt = now;
+    this.#arrived += 1;
+    if (this.#rankingVersion !== this.#options.ranking.version) {
+      this.#refreshKeepers(now);
+    }
+    const rate = this.callsPerSecond();
+    const capacity = Math.max(1, rate * BURST_SECONDS);
+    this.#tokens = Math.min(
+      capacity,
+      this.#tokens + rate * (now - this.#refilledAt) / 1_000,
+    );
+    this.#refilledAt = now;
+    if (this.#tokens >= 1) {
+      this.#tokens -= 1;
+      return true;
+    }
+    for (const { link } of this.#links.values()) link.askForMore();
+    return false;
+  }
+
+  /** Gives all leases back. */
+  close(): void {
+    for (const { link } of this.#links.values()) link.close();
+    this.#links.clear();
+    this.#becomeReady();
+  }
+
+  #refreshKeepers(now: number): void {
+    const { organisation, ranking } = this.#options;
+    this.#rankingVersion = ranking.version;
+    const keepers = ranking.keepers(organisation);
+    this.#orphans = this.#orphans.filter((orphan) => orphan.until > now);
+    const left: Inheritance[] = [];
+    for (const [nodeId, { link, inheritance }] of this.#links) {
+      if (keepers.includes(nodeId)) continue;
+      // A keeper that left grants its part to nobody else, and its successor
+      // grants only inherited parts for one term.
+      const held = link.lease()?.amount ?? 0;
+      left.push({
+        amount: Math.max(
+          held,
+          inheritance.until > now ? inheritance.amount : 0,
+        ),
+        until: now + RATE_TERM_MS,
+      });
+      link.close();
+      this.#links.delete(nodeId);
+    }
+    for (const nodeId of keepers) {
+      if (this.#links.has(nodeId)) continue;
+      const inheritance = left.shift() ?? NOTHING;
+      this.#links.set(nodeId, {
+        link: this.#connect(nodeId, inheritance),
+        inheritance,
+      });
+    }
+    this.#orphans = [...this.#orphans, ...left];
+  }
+
+  #connect(nodeId: string, inheritance: Inheritance): LeaseLink {
+    const { channel, clock, members, organisation } = this.#options;
+    return new LeaseLink({
+      kind: LeaseKind.RATE,
+      resource: organisation,
+      ownerId: nodeId,
+      members,
+      channel,
+      clock,
+      report: () => ({
+        demands: [{ priority: 0, organisation: "", amount: this.#demand() }],
+        calls: 0,
+        meanDurationMs: 0,
+        inUse: 0,
+        inherited: inheritance.until > clock.now() ? inheritance.amount : 0,
+      }),
+      onGrant: () => {
+        const links = [...this.#links.values()];
+        if (links.every(({ link }) => link.answered)) this.#becomeReady();
+      },
+    });
+  }
+
+  /** Demand for the part of one keeper, in units of the rate lease. */
+  #demand(): number {
+    const { clock, organisation, ranking } = this.#options;
+    const now = clock.now();
+    if (now - this.#lastCallAt > IDLE_MS) {
+      queueMicrotask(() => {
+        this.close();
+        this.#options.onIdle();
+      });
+    }
+    const elapsedMs = now - this.#countedAt;
+    if (elapsedMs >= 1_000) {
+      const recent = this.#arrived * 1_000 / elapsedMs;
+      this.#perSecond = recent > this.#perSecond
+        ? recent
+        : this.#perSecond + (recent - this.#perSecond) * RATE_WEIGHT;
+      this.#arrived = 0;
+      this.#countedAt = now;
+    }
+    const perSecond = Math.max(this.#perSecond, this.#arrived, 1);
+    const keepers = Math.max(1, ranking.keepers(organisation).length);
+    return Math.ceil(perSecond * HEADROOM / keepers / RATE_UNIT);
+  }
+
+  #becomeReady(): void {
+    this.#ready = true;
+    for (const resolve of this.#waiting.splice(0)) resolve();
+  }
+}
--- /dev/null
+++ b/packages/leases/rate_lease_keeper.ts
@@ -0,0 +1,179 @@
+import { create } from "@bufbuild/protobuf";
+import {
+  LeaseGrantSchema,
+  LeaseKind,
+  type LeaseRequest,
+  type Member,
+} from "@oleanderdeck/protocol";
+import type { MemberView, PeerChannel } from "@oleanderdeck/membership";
+import type { Clock } from "@oleanderdeck/settings";
+import { type HolderRecord, LeaseLedger } from "./_lease_ledger.ts";
+import { divideMaxMin } from "./allocation.ts";
+import type { KeeperRanking } from "./keeper_ranking.ts";
+import { RATE_TERM_MS } from "./lease_timing.ts";
+
+/**
+ * Unit of amounts in rate leases, in calls per second: many nodes may share a
+ * limit of a few calls per second.
+ */
+export const RATE_UNIT = 0.001;
+
+/** Part of the rate that is kept free for nodes that begin to call. */
+const SPARE_SHARE = 0.1;
+
+/**
+ * Requests per second that a keeper wants to answer for one organisation; with
+ * more holders the terms are longer, so that the control traffic stays bounded.
+ */
+const REQUESTS_PER_SECOND = 20;
+
+/** Renewals of a lease within its term. */
+const RENEWALS_PER_TERM = 8;
+
+/** Least time between two unasked grants to a holder. */
+const PUSH_INTERVAL_MS = 200;
+
+/** Change of a share below which a holder is not told before its renewal. */
+const PUSH_CHANGE = 0.2;
+
+/** Options of {@linkcode RateLeaseKeeper}. */
+export interface RateLeaseKeeperOptions {
+  readonly members: MemberView;
+  readonly channel: PeerChannel;
+  readonly clock: Clock;
+  readonly ranking: KeeperRanking;
+  /** Limit of an organisation in calls per second; undefined without one. */
+  readonly limit: (organisation: string) => number | undefined;
+}
+
+/**
+ * Grants parts of the limits of organisations for which this node is a keeper.
+ * The parts in use never exceed this keeper's share of the limit. A node that
+ * became keeper within the last term grants only what the holders hold from
+ * its predecessor.
+ */
+export class RateLeaseKeeper {
+  readonly #options: RateLeaseKeeperOptions;
+  readonly #startedAt: number;
+  readonly #ledgers = new Map<string, LeaseLedger>();
+  readonly #removeHandler: () => void;
+  #epoch = 0n;
+
+  /** @param options Collaborators of the keeper. */
+  constructor(options: RateLeaseKeeperOptions) {
+    this.#options = options;
+    this.#startedAt = options.clock.now();
+    this.#removeHandler = options.channel.onMessage(
+      "leaseRequest",
+      (request, sender) => {
+        if (request.kind === LeaseKind.RATE) this.#receive(request, sender);
+      },
+    );
+  }
+
+  /** Stops answering. */
+  close(): void {
+    this.#removeHandler();
+  }
+
+  #receive(request: LeaseRequest, sender: Member): void {
+    const { clock, limit, members, ranking } = this.#options;
+    const self = members.self();
+    const organisation = request.resource;
+    const callsPerSecond = limit(organisation);
+    if (request.ownerIncarnation !== self.incarnation) return;
+    if (callsPerSecond === undefined) return;
+    if (!ranking.keepers(organisation).includes(self.nodeId)) return;
+    const now = clock.now();
+    let ledger = this.#ledgers.get(organisation);
+    if (ledger === undefined) {
+      ledger = new LeaseLedger(RATE_TERM_MS);
+      this.#ledgers.set(organisation, ledger);
+    }
+    ledger.expire(now);
+    const holder = ledger.accept(request, sender, now);
+    if (holder === undefined) return;
+    ledger.termMs = Math.max(
+      RATE_TERM_MS,
+      1_000 * RENEWALS_PER_TERM * ledger.size / REQUESTS_PER_SECOND,
+    );
+    const earlier = ranking.earlierKeepers(organisation);
+    const capacity = callsPerSecond / RATE_UNIT /
+      Math.max(1, earlier.length);
+    const settled = earlier.includes(self.nodeId) &&
+      now - this.#startedAt >= RATE_TERM_MS;
+    const targets = settled
+      ? divide(capacity, ledger.holders())
+      : new Map([[holder, request.heldAmount]]);
+    if (settled) this.#reduce(organisation, ledger, targets, holder);
+    const room = capacity - ledger.committed(now, holder);
+    this.#send(
+      organisation,
+      ledger,
+      holder,
+      Math.max(0, Math.min(targets.get(holder) ?? 0, room)),
+    );
+  }
+
+  #reduce(
+    organisation: string,
+    ledger: LeaseLedger,
+    targets: ReadonlyMap<HolderRecord, number>,
+    asker: HolderRecord,
+  ): void {
+    const now = this.#options.clock.now();
+    for (const [holder, target] of targets) {
+      if (holder === asker || now - holder.lastSentAt < PUSH_INTERVAL_MS) {
+        continue;
+      }
+      if (holder.lastAmount - target > holder.lastAmount * PUSH_CHANGE) {
+        this.#send(organisation, ledger, holder, target);
+      }
+    }
+  }
+
+  #send(
+    organisation: string,
+    ledger: LeaseLedger,
+    holder: HolderRecord,
+    share: number,
+  ): void {
+    const { channel, clock, members } = this.#options;
+    const amount = Math.floor(share);
+    this.#epoch += 1n;
+    holder.grant(this.#epoch, amount, clock.now());
+    channel.send(holder.nodeId, {
+      case: "leaseGrant",
+      value: create(LeaseGrantSchema, {
+        kind: LeaseKind.RATE,
+        resource: organisation,
+        ownerIncarnation: members.self().incarnation,
+        requestNumber: holder.requestNumber,
+        amount,
+        termMilliseconds: ledger.termMs,
+        epoch: this.#epoch,
+      }),
+    });
+  }
+}
+
+/** Max-min shares; a rate that nobody demands is spread evenly. */
+function divide(
+  capacity: number,
+  holders: readonly HolderRecord[],
+): Map<HolderRecord, number> {
+  const claims = holders.map((holder) => ({
+    weight: 1,
+    amount: holder.demands.reduce((sum, demand) => sum + demand.amount, 0),
+  }));
+  const demand = claims.reduce((sum, claim) => sum + claim.amount, 0);
+  const spare = Math.max(0, capacity * (1 - SPARE_SHARE) - demand) /
+    Math.max(1, holders.length);
+  const shares = divideMaxMin(capacity, claims);
+  return new Map(
+    holders.map((holder, index) => [
+      holder,
+      claims[index]!.amount === 0 ? 0 : shares[index]! + spare,
+    ]),
+  );
+}
--- a/packages/leases/slot_lease_owner.ts
+++ b/packages/leases/slot_lease_owner.ts
@@ -9,6 +9,7 @@
 import { create } from "@bufbuild/protobuf";
 import type { MemberView, PeerChannel } from "@oleanderdeck/membership";
 import type { Clock } from "@oleanderdeck/settings";
+import { type HolderRecord, LeaseLedger } from "./_lease_ledger.ts";
 import { AdaptiveLimit } from "./adaptive_limit.ts";
 import { allocate, type HolderDemand } from "./allocation.ts";
 import { type DemandEntry, readDemands } from "./lease_demand.ts";
@@ -51,28 +52,6 @@
 /** Share of the slots that a cold worker offers at first. */
 const COLD_SHARE = 0.1;
 
-/** Grant that a holder may still use. */
-interface OutstandingGrant {
-  readonly epoch: bigint;
-  readonly amount: number;
-  /** End of the term on the owner's clock. */
-  readonly until: number;
-}
-
-interface HolderState {
-  readonly nodeId: string;
-  readonly incarnation: bigint;
-  demands: readonly HolderDemand[];
-  /** Calls in progress at the time of the last report. */
-  inUse: number;
-  requestNumber: number;
-  /** End of the term that the last request may be granted. */
-  until: number;
-  grants: OutstandingGrant[];
-  lastAmount: number;
-  lastSentAt: number;
-}
-
 /**
  * Grants the slots of the node's own worker to other nodes in terms of 2 s.
  * The slots that holders may use and those in use by the node itself never
@@ -82,7 +61,7 @@
 export class SlotLeaseOwner {
   readonly #options: SlotLeaseOwnerOptions;
   readonly #startedAt: number;
-  readonly #holders = new Map<string, HolderState>();
+  readonly #ledger = new LeaseLedger(SLOT_TERM_MS);
   readonly #limit = new AdaptiveLimit();
   readonly #closing = new AbortController();
   readonly #removeHandler: () => void;
@@ -136,7 +115,7 @@
       }
       this.#options.onAvailable();
     } else if (wasServing) {
-      for (const holder of this.#holders.values()) this.#send(holder, 0);
+      for (const holder of this.#ledger.holders()) this.#send(holder, 0);
     }
   }
 
@@ -170,12 +149,7 @@
 
   /** Slots that holders may use at this moment. */
   leasedSlots(): number {
-    const now = this.#options.clock.now();
-    let sum = 0;
-    for (const holder of this.#holders.values()) {
-      sum += this.#committed(holder, now);
-    }
-    return sum;
+    return this.#ledger.committed(this.#options.clock.now());
   }
 
   /** Slots that the node itself may take now. */
@@ -239,7 +213,7 @@
       updateNumber: this.#updateNumber,
       threshold,
     });
-    for (const holder of this.#holders.values()) {
+    for (const holder of this.#ledger.holders()) {
       channel.send(holder.nodeId, { case: "pressureUpdate", value });
     }
   }
@@ -256,55 +230,13 @@
     return Math.max(1, Math.round(offered * RESERVE_SHARE));
   }
 
-  #committed(holder: HolderState, now: number): number {
-    let amount = 0;
-    for (const grant of holder.grants) {
-      if (grant.until > now && grant.amount > amount) amount = grant.amount;
-    }
-    return Math.max(amount, holder.until > now ? holder.inUse : 0);
-  }
-
   #receive(request: LeaseRequest, sender: Member): void {
     const self = this.#options.members.self();
     if (request.ownerIncarnation !== self.incarnation) return;
     const now = this.#options.clock.now();
-    let holder = this.#holders.get(sender.nodeId);
-    if (
-      holder === undefined ||
-      holder.incarnation !== request.holderIncarnation
-    ) {
-      if (holder && holder.incarnation > request.holderIncarnation) return;
-      const grants = holder?.grants ?? [];
-      holder = {
-        nodeId: sender.nodeId,
-        incarnation: request.holderIncarnation,
-        demands: [],
-        inUse: 0,
-        requestNumber: 0,
-        until: 0,
-        grants,
-        lastAmount: 0,
-        lastSentAt: -Infinity,
-      };
-      this.#holders.set(sender.nodeId, holder);
-    }
-    if (request.requestNumber <= holder.requestNumber) return;
-    holder.requestNumber = request.requestNumber;
-    holder.inUse = request.inUse;
-    holder.until = now + SLOT_TERM_MS;
-    // A holder ignores grants older than the one that it holds.
-    holder.grants = holder.grants
-      .filter((grant) => grant.until > now && grant.epoch >= request.heldEpoch)
-      .map((grant) =>
-        grant.epoch === request.heldEpoch
-          ? { ...grant, amount: Math.min(grant.amount, request.heldAmount) }
-          : grant
-      );
+    const holder = this.#ledger.accept(request, sender, now);
+    if (holder === undefined) return;
     const report = readDemands(request.demands);
-    holder.demands = report.demands.map((demand) => ({
-      ...demand,
-      holder: sender.nodeId,
-    }));
     if (report.calls > 0) {
       this.#options.onCalls(report.calls);
       this.#limit.record(report.meanDurationMs, report.calls, now);
@@ -312,15 +244,12 @@
     this.#reallocate(holder);
   }
 
-  #reallocate(asker: HolderState): void {
+  #reallocate(asker: HolderRecord): void {
     const now = this.#options.clock.now();
-    for (const [nodeId, holder] of this.#holders) {
-      if (holder.until <= now) this.#holders.delete(nodeId);
-    }
+    this.#ledger.expire(now);
     const targets = this.#targets();
     // Reductions first, since they make room for the others.
-    const others = [...this.#holders.values()]
-      .filter((holder) => holder !== asker);
+    const others = this.#ledger.holders().filter((holder) => holder !== asker);
     for (const holder of others) {
       const target = targets.get(holder.nodeId) ?? 0;
       // Small corrections wait for the holder's next report.
@@ -342,8 +271,9 @@
     const offered = this.offeredSlots();
     if (offered === 0 || this.#starting()) return new Map();
     const self = this.#options.members.self().nodeId;
-    const demands: HolderDemand[] = [...this.#holders.values()]
-      .flatMap((holder) => holder.demands);
+    const demands: HolderDemand[] = this.#ledger.holders().flatMap((holder) =>
+      holder.demands.map((demand) => ({ ...demand, holder: holder.nodeId }))
+    );
     const own = this.#options.ownDemands();
     demands.push(...own.map((demand) => ({ ...demand, holder: self })));
     const reserve = this.#reserve(offered);
@@ -368,24 +298,24 @@
 
   /** Target of a holder, as far as the commitments to others leave room. */
   #affordable(
-    holder: HolderState,
+    holder: HolderRecord,
     targets: ReadonlyMap<string, number>,
     now: number,
   ): number {
     const offered = this.offeredSlots();
     const target = targets.get(holder.nodeId) ?? 0;
-    const others = this.leasedSlots() - this.#committed(holder, now);
+    const others = this.#ledger.committed(now, holder);
     const room = offered - others -
       Math.max(this.#ownRunning, this.#reserve(offered));
     return Math.max(0, Math.min(target, room));
   }
 
-  #sendSoon(holder: HolderState, amount: number, now: number): void {
+  #sendSoon(holder: HolderRecord, amount: number, now: number): void {
     if (now - holder.lastSentAt < SHORTAGE_INTERVAL_MS) return;
     this.#send(holder, amount);
   }
 
-  #send(holder: HolderState, amount: number): void {
+  #send(holder: HolderRecord, amount: number): void {
     const now = this.#options.clock.now();
     this.#epoch += 1n;
     const grant: LeaseGrant = create(LeaseGrantSchema, {
@@ -398,9 +328,7 @@
       epoch: this.#epoch,
       threshold: this.#options.threshold(),
     });
-    holder.lastAmount = amount;
-    holder.lastSentAt = now;
-    holder.grants.push({ epoch: this.#epoch, amount, until: holder.until });
+    holder.grant(this.#epoch, amount, now);
     this.#fences.push({ epoch: this.#epoch, until: now + SLOT_TERM_MS });
     if (this.#fences.length > 4_096) this.lowestValidFence();
     this.#options.channel.send(holder.nodeId, {
