Start waiting calls only if they can end in time

Waiting calls started until their deadline, and their durations were compared with the mean, so that slots went to calls that ended too late. Durations of forwarded calls contained the wait at the serving node and inflated the mean.

Now the mean and two mean deviations of direct calls must fit into the time left, on arrival and at the start. The recovery measure of the benchmark counts a run without completions before the fault as not recovered.

--- a/bench/overload_bench.ts
+++ b/bench/overload_bench.ts
@@ -159,6 +159,8 @@
   level: number,
   filter?: (completion: Completion) => boolean,
 ): number {
+  // Without completions before, nothing can recover.
+  if (!(level > 0)) return until - from;
   for (let start = from; start + 500 <= until; start += 50) {
     if (rateOf(world, start, start + 500, filter) >= level) return start - from;
   }
--- a/packages/admission/_estimates.ts
+++ b/packages/admission/_estimates.ts
@@ -11,13 +11,21 @@
 /** Expected duration before any call has ended. */
 const UNKNOWN_DURATION_MS = 10;
 
+/** Deviations above the mean within which nearly all calls end. */
+const DEVIATIONS = 2;
+
 /** Expected duration of a service's calls. */
 export class DurationEstimate {
   #meanMs = 0;
+  #deviationMs = 0;
   #updatedAt = 0;
 
   /** Takes an observed duration into account. */
   record(durationMs: number, now: number): void {
+    if (this.#meanMs > 0) {
+      this.#deviationMs += DURATION_WEIGHT *
+        (Math.abs(durationMs - this.#meanMs) - this.#deviationMs);
+    }
     this.#meanMs = this.#meanMs === 0
       ? durationMs
       : this.#meanMs + (durationMs - this.#meanMs) * DURATION_WEIGHT;
@@ -26,10 +34,18 @@
 
   /** Expected duration; 0 when nothing is known. */
   expectedMs(now: number): number {
-    const halvings = Math.floor(
-      (now - this.#updatedAt) / DURATION_HALF_LIFE_MS,
-    );
-    return halvings < 1 ? this.#meanMs : this.#meanMs * 0.5 ** halvings;
+    return this.#meanMs * this.#confidence(now);
+  }
+
+  /** Duration within which nearly all calls end. */
+  mostMs(now: number): number {
+    return (this.#meanMs + DEVIATIONS * this.#deviationMs) *
+      this.#confidence(now);
+  }
+
+  #confidence(now: number): number {
+    return 0.5 **
+      Math.floor((now - this.#updatedAt) / DURATION_HALF_LIFE_MS);
   }
 }
 
--- a/packages/admission/_service_admission.ts
+++ b/packages/admission/_service_admission.ts
@@ -140,7 +140,7 @@
     if (!this.#context.mechanisms.deadlines) return undefined;
     const remaining = request.deadline - now;
     const wait = this.expectedWaitMs(request.priority);
-    if (remaining <= 0 || remaining < wait + this.#durations.expectedMs(now)) {
+    if (remaining <= 0 || remaining < wait + this.#durations.mostMs(now)) {
       return new DeckError("deadline_too_short");
     }
     return undefined;
@@ -200,7 +200,7 @@
       const entry = this.#queue.peek();
       if (entry === undefined) return;
       const now = this.#context.clock.now();
-      if (entry.request.deadline <= now) {
+      if (entry.request.deadline - now < this.#leastMs(now)) {
         this.#refuse(entry, "deadline_too_short");
         continue;
       }
@@ -278,7 +278,8 @@
         finished = true;
         this.#running -= 1;
         this.#queue.finish(request);
-        if (result.failure === undefined) {
+        // A forwarded call's time includes its wait at the serving node.
+        if (result.failure === undefined && slot.target.kind === "direct") {
           this.#durations.record(result.durationMs, this.#context.clock.now());
         }
         this.#context.usage.finish(
@@ -366,10 +367,15 @@
 
   #expire(now: number): void {
     const expired = [...this.#queue.entries()]
-      .filter((entry) => entry.request.deadline <= now);
+      .filter((entry) => entry.request.deadline - now < this.#leastMs(now));
     for (const entry of expired) this.#refuse(entry, "deadline_too_short");
   }
 
+  /** Time left without which a start would be in vain. */
+  #leastMs(now: number): number {
+    return this.#context.mechanisms.deadlines ? this.#durations.mostMs(now) : 0;
+  }
+
   #endInterval(now: number): void {
     this.#intervalEndsAt = now + SHED_INTERVAL_MS;
     const oldest = this.#queue.oldest();
