Shed only priorities that have a standing delay

The threshold followed the served rate alone, which is noisy on a node with few calls per interval, and cut into priorities that were served without delay. It now stops at the first priority with a standing delay.

--- a/packages/admission/_service_admission.ts
+++ b/packages/admission/_service_admission.ts
@@ -207,7 +207,10 @@
       const slot = this.#acquire(entry.request);
       if (slot === undefined) return;
       this.#queue.remove(entry);
-      this.#shedding.recordStart(now - entry.enqueuedAt);
+      this.#shedding.recordStart(
+        entry.request.priority,
+        now - entry.enqueuedAt,
+      );
       entry.answer(Right(this.#admitted(entry.request, slot)));
     }
   }
@@ -238,7 +241,7 @@
     if (this.#queue.length === 0) {
       const slot = this.#acquire(request);
       if (slot !== undefined) {
-        this.#shedding.recordStart(0);
+        this.#shedding.recordStart(request.priority, 0);
         return Right(this.#admitted(request, slot));
       }
     }
@@ -378,10 +381,9 @@
 
   #endInterval(now: number): void {
     this.#intervalEndsAt = now + SHED_INTERVAL_MS;
-    const oldest = this.#queue.oldest();
     const before = this.threshold();
     if (this.#context.mechanisms.shedding) {
-      this.#shedding.endInterval(oldest && now - oldest.enqueuedAt);
+      this.#shedding.endInterval(this.#queue.oldestAges(now));
     }
     this.#startsPerMs += RATE_WEIGHT *
       (this.#starts / SHED_INTERVAL_MS - this.#startsPerMs);
--- a/packages/admission/_shedding.ts
+++ b/packages/admission/_shedding.ts
@@ -1,4 +1,4 @@
-import { SHED_KEYS } from "@oleanderdeck/agreement";
+import { type Priority, SHED_KEYS } from "@oleanderdeck/agreement";
 import { divideMaxMin } from "@oleanderdeck/leases";
 import type { AdmissionRequest } from "./admission_control.ts";
 
@@ -53,7 +53,8 @@
   readonly #arrivals = new Map<string, OrganisationArrivals>();
   #threshold = OPEN_THRESHOLD;
   #served = 0;
-  #leastDelayMs = Infinity;
+  /** Least delay of the starts in this interval, by priority. */
+  #leastDelaysMs = [Infinity, Infinity, Infinity, Infinity];
   #sharesFor = -1;
   readonly #shares = new Map<string, number>();
 
@@ -86,31 +87,43 @@
   }
 
   /** Counts a call that got a slot after a delay. */
-  recordStart(delayMs: number): void {
+  recordStart(priority: Priority, delayMs: number): void {
     this.#served += 1;
-    if (delayMs < this.#leastDelayMs) this.#leastDelayMs = delayMs;
+    if (delayMs < this.#leastDelaysMs[priority]!) {
+      this.#leastDelaysMs[priority] = delayMs;
+    }
   }
 
   /**
    * Ends an interval.
    *
-   * @param oldestDelayMs Age of the oldest waiting attempt; undefined when
-   * none waits.
+   * @param oldestDelaysMs Age of the oldest waiting attempt by priority;
+   * undefined where none waits.
    */
-  endInterval(oldestDelayMs: number | undefined): void {
+  endInterval(oldestDelaysMs: readonly (number | undefined)[]): void {
+    const oldest = oldestDelaysMs.filter((delayMs) => delayMs !== undefined);
+    const least = Math.min(...this.#leastDelaysMs);
     // Without a start in the interval, the waiting attempts show the delay.
-    const delayMs = Number.isFinite(this.#leastDelayMs)
-      ? this.#leastDelayMs
-      : oldestDelayMs ?? 0;
-    if (oldestDelayMs !== undefined && delayMs > TARGET_DELAY_MS) {
+    const delayMs = Number.isFinite(least) ? least : Math.max(0, ...oldest);
+    if (oldest.length > 0 && delayMs > TARGET_DELAY_MS) {
+      const standing = oldestDelaysMs.findIndex((oldestMs, priority) => {
+        const startedMs = this.#leastDelaysMs[priority]!;
+        return oldestMs !== undefined &&
+          (Number.isFinite(startedMs) ? startedMs : oldestMs) > TARGET_DELAY_MS;
+      });
+      // Priorities without standing delay fit and are not shed.
+      const level = Math.max(
+        standing * SHED_KEYS,
+        Math.min(this.#threshold - 1, this.#levelFor(this.#served * CUT_SHARE)),
+      );
       this.#threshold = Math.max(
         LEAST_THRESHOLD,
-        Math.min(this.#threshold - 1, this.#levelFor(this.#served * CUT_SHARE)),
+        Math.min(this.#threshold, level),
       );
     } else {
       this.#threshold = Math.min(OPEN_THRESHOLD, this.#threshold + RELAX_STEP);
     }
-    this.#leastDelayMs = Infinity;
+    this.#leastDelaysMs = [Infinity, Infinity, Infinity, Infinity];
     this.#served *= COUNT_DECAY;
     this.#sharesFor = -1;
     for (const [organisation, arrivals] of this.#arrivals) {
--- a/packages/admission/_wait_queue.ts
+++ b/packages/admission/_wait_queue.ts
@@ -102,15 +102,17 @@
     return undefined;
   }
 
-  /** The oldest attempt of all. */
-  oldest(): Entry | undefined {
-    let oldest: Entry | undefined;
-    for (const entry of this.entries()) {
-      if (oldest === undefined || entry.enqueuedAt < oldest.enqueuedAt) {
-        oldest = entry;
+  /** Age of the oldest waiting attempt by priority. */
+  oldestAges(now: number): (number | undefined)[] {
+    return this.#accounts.map((accounts) => {
+      let oldest: number | undefined;
+      for (const { waiting } of accounts.values()) {
+        const first = waiting[0];
+        if (first === undefined) continue;
+        oldest = Math.min(oldest ?? Infinity, first.enqueuedAt);
       }
-    }
-    return oldest;
+      return oldest === undefined ? undefined : now - oldest;
+    });
   }
 
   /** All waiting attempts. */
