Leave the slots that holders are due to them

A holder's share could not grow back, because the serving node's own calls took each slot as soon as it was free; nodes without a worker of the service were left with no slots. The serving node now leaves free what the allocation gives to holders, and grants a slot that it frees to a holder that lacks it. Room for variation in the reported demand ranks after all priorities, so that it takes no slot from a call under shortage.

--- a/packages/admission/_estimates.ts
+++ b/packages/admission/_estimates.ts
@@ -123,10 +123,7 @@
     }
   }
 
-  /**
-   * Calls `visit` with the expected calls in progress, with room for two
-   * standard deviations of a Poisson process.
-   */
+  /** Calls `visit` with the expected calls in progress. */
   forEach(
     durationMs: number,
     visit: (priority: number, organisation: string, slots: number) => void,
@@ -134,8 +131,11 @@
     for (const rate of this.#rates.values()) {
       const perSecond = Math.max(rate.perSecond, rate.arrived);
       if (perSecond < INFREQUENT_PER_SECOND) continue;
-      const mean = perSecond * (durationMs || UNKNOWN_DURATION_MS) / 1_000;
-      visit(rate.priority, rate.organisation, mean + 2 * Math.sqrt(mean));
+      visit(
+        rate.priority,
+        rate.organisation,
+        perSecond * (durationMs || UNKNOWN_DURATION_MS) / 1_000,
+      );
     }
   }
 }
--- a/packages/admission/_worker_pools.ts
+++ b/packages/admission/_worker_pools.ts
@@ -1,4 +1,4 @@
-import type { DemandEntry } from "@oleanderdeck/leases";
+import { type DemandEntry, HEADROOM_ENTRY } from "@oleanderdeck/leases";
 import type { Candidate } from "@oleanderdeck/routing";
 import type { Member } from "@oleanderdeck/protocol";
 import type { AdmissionContext } from "./_admission_context.ts";
@@ -12,8 +12,8 @@
 /** Time for which a peer worker without demand keeps its lease. */
 const IDLE_LEASE_MS = 5_000;
 
-/** Room above the expected demand, against variation between reports. */
-const HEADROOM = 1.25;
+/** Standard deviations of a Poisson process for which there is headroom. */
+const HEADROOM_DEVIATIONS = 2;
 
 /** Most demand entries in a report, so that a request stays small. */
 const MOST_ENTRIES = 6;
@@ -187,7 +187,7 @@
     const demand = this.#demand();
     const total = demand.reduce((sum, entry) => sum + entry.amount, 0);
     if (total === 0) return [];
-    const wanted = total * HEADROOM + 1;
+    const wanted = total + HEADROOM_DEVIATIONS * Math.sqrt(total) + 1;
     const { dataCentre } = this.#context.members.self();
     const workers = this.members();
     const local = workers.filter((member) => member.dataCentre === dataCentre);
@@ -208,7 +208,7 @@
       use.wantedAt = this.#context.clock.now();
     }
     if (need < 1 && !isLocal && local.length > 0) return [];
-    return this.#scale(demand, need / total);
+    return this.#scale(demand, need / wanted, need * (1 - total / wanted));
   }
 
   /** Begins to lease slots of workers that the demand needs. */
@@ -236,7 +236,11 @@
     return use.pool.answered ? use.pool.heldSlots() : expected;
   }
 
-  #scale(demand: readonly DemandEntry[], factor: number): DemandEntry[] {
+  #scale(
+    demand: readonly DemandEntry[],
+    factor: number,
+    headroom: number,
+  ): DemandEntry[] {
     const entries = [...demand]
       .sort((left, right) => right.amount - left.amount)
       .slice(0, MOST_ENTRIES)
@@ -244,8 +248,12 @@
     // Rounding the running total keeps the sum near the exact need.
     let exact = 0;
     let rounded = 0;
-    return entries.map((entry) => {
-      exact += entry.amount * factor;
+    const all = [
+      ...entries.map((entry) => ({ ...entry, amount: entry.amount * factor })),
+      { priority: HEADROOM_ENTRY, organisation: "", amount: headroom },
+    ];
+    return all.map((entry) => {
+      exact += entry.amount;
       const amount = Math.ceil(exact - 1e-9) - rounded;
       rounded += amount;
       return { ...entry, amount };
--- a/packages/leases/lease_demand.ts
+++ b/packages/leases/lease_demand.ts
@@ -12,6 +12,13 @@
 
 const DURATION_UNITS_PER_MS = 10;
 
+/**
+ * Rank of the entry for slots beyond the expected need, against variation
+ * between reports. It is served after all priorities, so that under shortage
+ * room for variation takes no slot from a call.
+ */
+export const HEADROOM_ENTRY = 6;
+
 /** Demand for one priority and organisation. */
 export interface DemandEntry {
   readonly priority: number;
@@ -67,7 +74,9 @@
   const amountOf = (rank: number) =>
     entries.find((entry) => entry.priority === rank)?.amount ?? 0;
   return {
-    demands: entries.filter((entry) => entry.priority < CALLS_ENTRY),
+    demands: entries.filter(({ priority }) =>
+      priority < CALLS_ENTRY || priority === HEADROOM_ENTRY
+    ),
     calls: amountOf(CALLS_ENTRY),
     meanDurationMs: amountOf(DURATION_ENTRY) / DURATION_UNITS_PER_MS,
   };
--- a/packages/leases/slot_lease_owner.ts
+++ b/packages/leases/slot_lease_owner.ts
@@ -68,6 +68,7 @@
   #worker: OwnWorker | undefined;
   #servingSince = 0;
   #ownRunning = 0;
+  #lastTargets: ReadonlyMap<string, number> = new Map();
   #epoch = 1n;
   #fences: { readonly epoch: bigint; readonly until: number }[] = [];
   #updateNumber = 0;
@@ -115,6 +116,7 @@
       }
       this.#options.onAvailable();
     } else if (wasServing) {
+      this.#lastTargets = new Map();
       for (const holder of this.#ledger.holders()) this.#send(holder, 0);
     }
   }
@@ -158,7 +160,21 @@
     if (offered === 0) return 0;
     // Grants of an earlier incarnation of this node may be in use for one term.
     const usable = this.#starting() ? this.#reserve(offered) : offered;
-    return usable - this.leasedSlots() - this.#ownRunning;
+    return usable - this.#claimedSlots(offered) - this.#ownRunning;
+  }
+
+  /** Slots that holders may use or are to be granted. */
+  #claimedSlots(offered: number): number {
+    const now = this.#options.clock.now();
+    let claimed = 0;
+    for (const holder of this.#ledger.holders()) {
+      if (holder.until <= now) continue;
+      const target = this.#lastTargets.get(holder.nodeId) ?? 0;
+      claimed += Math.max(holder.committed(now), target);
+    }
+    // The targets leave the reserve free, but commitments may not yet.
+    const most = Math.max(this.leasedSlots(), offered - this.#reserve(offered));
+    return Math.min(claimed, most);
   }
 
   /** Takes a slot for a call of the node itself. */
@@ -179,6 +195,18 @@
     if (durationMs !== undefined) {
       this.#limit.record(durationMs, 1, this.#options.clock.now());
     }
+    this.#grantFreed();
+  }
+
+  /** Grants a slot that the node itself has freed to a holder that lacks it. */
+  #grantFreed(): void {
+    const now = this.#options.clock.now();
+    const targets = this.#lastTargets;
+    for (const holder of this.#ledger.holders()) {
+      if ((targets.get(holder.nodeId) ?? 0) <= holder.lastAmount) continue;
+      const amount = this.#affordable(holder, targets, now);
+      if (amount > holder.lastAmount) this.#sendSoon(holder, amount, now);
+    }
   }
 
   /** Tells holders a changed threshold, at most every 50 ms. */
@@ -248,6 +276,7 @@
     const now = this.#options.clock.now();
     this.#ledger.expire(now);
     const targets = this.#targets();
+    this.#lastTargets = targets;
     // Reductions first, since they make room for the others.
     const others = this.#ledger.holders().filter((holder) => holder !== asker);
     for (const holder of others) {
