Shed by fair shares below one key

The threshold of a noisy organisation was rounded up to a whole shed key, which is a large part of a small share, and organisations without a waiting call were shed although they do not cause the delay. Keys are dithered now, and an organisation without a waiting call of the threshold's priority is exempt.

--- a/packages/admission/_service_admission.ts
+++ b/packages/admission/_service_admission.ts
@@ -1,5 +1,5 @@
 import { Either, Left, Right } from "purify-ts";
-import type { Priority } from "@oleanderdeck/agreement";
+import { type Priority, SHED_KEYS } from "@oleanderdeck/agreement";
 import { DeckError, type ErrorKind } from "@oleanderdeck/errors";
 import type { DemandEntry } from "@oleanderdeck/leases";
 import type { AdmissionContext } from "./_admission_context.ts";
@@ -133,8 +133,13 @@
     threshold: number,
   ): DeckError | undefined {
     const now = this.#context.clock.now();
-    if (this.#shedding.refuses(request, threshold)) {
-      const local = threshold >= this.#shedding.threshold;
+    const local = threshold >= this.#shedding.threshold;
+    // The queue is fair over organisations, so one without a waiting attempt
+    // does not cause the delay of its own priority.
+    const exempt = local &&
+      request.priority === Math.floor(threshold / SHED_KEYS) &&
+      this.#queue.waiting(request) === 0;
+    if (!exempt && this.#shedding.refuses(request, threshold)) {
       return new DeckError(local ? "shed_low_priority" : "downstream_pressure");
     }
     if (!this.#context.mechanisms.deadlines) return undefined;
--- a/packages/admission/_shedding.ts
+++ b/packages/admission/_shedding.ts
@@ -35,6 +35,9 @@
   return request.priority * SHED_KEYS + request.shedKey;
 }
 
+/** Fractional part of the golden ratio; its multiples are spread evenly. */
+const GOLDEN_RATIO = 0.618033988749895;
+
 interface OrganisationArrivals {
   readonly organisation: string;
   /** Decayed arrivals by priority. */
@@ -56,6 +59,7 @@
   /** Least delay of the starts in this interval, by priority. */
   #leastDelaysMs = [Infinity, Infinity, Infinity, Infinity];
   #sharesFor = -1;
+  #dither = 0;
   readonly #shares = new Map<string, number>();
 
   /** @param weight Weight of an organisation, above 0. */
@@ -152,7 +156,10 @@
     if (this.#sharesFor !== threshold) this.#divide(threshold);
     const share = this.#shares.get(request.organisation) ??
       threshold % SHED_KEYS;
-    return request.shedKey >= share;
+    // A key stands for an interval of width 1, so that a share of less than
+    // one key is not rounded up.
+    this.#dither = (this.#dither + GOLDEN_RATIO) % 1;
+    return request.shedKey + this.#dither >= share;
   }
 
   #divide(threshold: number): void {
--- a/packages/admission/_wait_queue.ts
+++ b/packages/admission/_wait_queue.ts
@@ -54,6 +54,11 @@
     return count;
   }
 
+  /** Number of waiting attempts of a request's priority and organisation. */
+  waiting({ priority, organisation }: AdmissionRequest): number {
+    return this.#accounts[priority]!.get(organisation)?.waiting.length ?? 0;
+  }
+
   /** Calls in progress of an organisation over all priorities. */
   running(organisation: string): number {
     return this.#accounts.reduce(
