Rotate indivisible slots less often and grant single slots at once

Indivisible slots moved to another holder with each grant, and an increase by one slot waited for the next renewal. Slots rotate every 5 s now, increases are sent at once, and the serving node's own calls may use slots that are due to holders as headroom only.

--- a/packages/leases/slot_lease_owner.ts
+++ b/packages/leases/slot_lease_owner.ts
@@ -12,7 +12,11 @@
 import { type HolderRecord, LeaseLedger } from "./_lease_ledger.ts";
 import { AdaptiveLimit } from "./adaptive_limit.ts";
 import { allocate, type HolderDemand } from "./allocation.ts";
-import { type DemandEntry, readDemands } from "./lease_demand.ts";
+import {
+  type DemandEntry,
+  HEADROOM_ENTRY,
+  readDemands,
+} from "./lease_demand.ts";
 import { SHORTAGE_INTERVAL_MS, SLOT_TERM_MS } from "./lease_timing.ts";
 
 /** The node's own worker, as its backend server registered it. */
@@ -49,6 +53,12 @@
 /** Share of the slots that is never leased and serves forwarded calls. */
 const RESERVE_SHARE = 0.1;
 
+/**
+ * Time after which indivisible slots move on to other holders. Each move leaves
+ * slots unused until the earlier holder has confirmed it.
+ */
+const ROTATION_MS = 5_000;
+
 /** Share of the slots that a cold worker offers at first. */
 const COLD_SHARE = 0.1;
 
@@ -68,7 +78,7 @@
   #worker: OwnWorker | undefined;
   #servingSince = 0;
   #ownRunning = 0;
-  #lastTargets: ReadonlyMap<string, number> = new Map();
+  #dueSlots: ReadonlyMap<string, number> = new Map();
   #epoch = 1n;
   #fences: { readonly epoch: bigint; readonly until: number }[] = [];
   #updateNumber = 0;
@@ -116,7 +126,7 @@
       }
       this.#options.onAvailable();
     } else if (wasServing) {
-      this.#lastTargets = new Map();
+      this.#dueSlots = new Map();
       for (const holder of this.#ledger.holders()) this.#send(holder, 0);
     }
   }
@@ -169,7 +179,7 @@
     let claimed = 0;
     for (const holder of this.#ledger.holders()) {
       if (holder.until <= now) continue;
-      const target = this.#lastTargets.get(holder.nodeId) ?? 0;
+      const target = this.#dueSlots.get(holder.nodeId) ?? 0;
       claimed += Math.max(holder.committed(now), target);
     }
     // The targets leave the reserve free, but commitments may not yet.
@@ -201,7 +211,7 @@
   /** Grants a slot that the node itself has freed to a holder that lacks it. */
   #grantFreed(): void {
     const now = this.#options.clock.now();
-    const targets = this.#lastTargets;
+    const targets = this.#dueSlots;
     for (const holder of this.#ledger.holders()) {
       if ((targets.get(holder.nodeId) ?? 0) <= holder.lastAmount) continue;
       const amount = this.#affordable(holder, targets, now);
@@ -275,8 +285,9 @@
   #reallocate(asker: HolderRecord): void {
     const now = this.#options.clock.now();
     this.#ledger.expire(now);
-    const targets = this.#targets();
-    this.#lastTargets = targets;
+    const targets = this.#targets(HEADROOM_ENTRY);
+    // Own calls may use headroom of holders until it is granted.
+    this.#dueSlots = this.#targets(HEADROOM_ENTRY - 1);
     // Reductions first, since they make room for the others.
     const others = this.#ledger.holders().filter((holder) => holder !== asker);
     for (const holder of others) {
@@ -289,27 +300,31 @@
     this.#send(asker, this.#affordable(asker, targets, now));
     for (const holder of others) {
       const amount = this.#affordable(holder, targets, now);
-      if (amount - holder.lastAmount > Math.max(1, holder.lastAmount / 10)) {
+      if (amount - holder.lastAmount >= Math.max(1, holder.lastAmount / 10)) {
         this.#sendSoon(holder, amount, now);
       }
     }
     this.#options.onAvailable();
   }
 
-  #targets(): Map<string, number> {
+  /** Slots that the allocation gives to each holder, at most to a rank. */
+  #targets(mostRank: number): Map<string, number> {
     const offered = this.offeredSlots();
     if (offered === 0 || this.#starting()) return new Map();
     const self = this.#options.members.self().nodeId;
-    const demands: HolderDemand[] = this.#ledger.holders().flatMap((holder) =>
-      holder.demands.map((demand) => ({ ...demand, holder: holder.nodeId }))
-    );
     const own = this.#options.ownDemands();
-    demands.push(...own.map((demand) => ({ ...demand, holder: self })));
+    const demands: HolderDemand[] = [
+      ...this.#ledger.holders().flatMap((holder) =>
+        holder.demands.map((demand) => ({ ...demand, holder: holder.nodeId }))
+      ),
+      ...own.map((demand) => ({ ...demand, holder: self })),
+    ].filter((demand) => demand.priority <= mostRank);
     const reserve = this.#reserve(offered);
-    const targets = allocate(offered, demands, {
+    const options = {
       weight: this.#options.weight,
-      rotation: Number(this.#epoch % 1_024n),
-    });
+      rotation: Math.floor(this.#options.clock.now() / ROTATION_MS),
+    };
+    const targets = allocate(offered, demands, options);
     const missing = reserve - (targets.get(self) ?? 0);
     targets.delete(self);
     const leased = [...targets.values()].reduce((sum, share) => sum + share, 0);
@@ -318,10 +333,7 @@
     return allocate(
       offered - reserve,
       demands.filter((demand) => demand.holder !== self),
-      {
-        weight: this.#options.weight,
-        rotation: Number(this.#epoch % 1_024n),
-      },
+      options,
     );
   }
 
