Measure standing delay relative to the duration of calls

With calls of 100 ms, a queue that keeps all slots busy has a delay above 5 ms most of the time, so calls were shed at 1x. The delay that may stand is now half a call's duration, at least 5 ms.

--- a/packages/admission/_service_admission.ts
+++ b/packages/admission/_service_admission.ts
@@ -388,7 +388,10 @@
     this.#intervalEndsAt = now + SHED_INTERVAL_MS;
     const before = this.threshold();
     if (this.#context.mechanisms.shedding) {
-      this.#shedding.endInterval(this.#queue.oldestAges(now));
+      this.#shedding.endInterval(
+        this.#queue.oldestAges(now),
+        this.#durations.expectedMs(now),
+      );
     }
     this.#startsPerMs += RATE_WEIGHT *
       (this.#starts / SHED_INTERVAL_MS - this.#startsPerMs);
--- a/packages/admission/_shedding.ts
+++ b/packages/admission/_shedding.ts
@@ -11,8 +11,15 @@
 /** Length of the interval of standing delay, as in CoDel. */
 export const SHED_INTERVAL_MS = 100;
 
-/** Delay that may stand for an interval, as in CoDel. */
-export const TARGET_DELAY_MS = 5;
+/** Delay that may always stand for an interval, as in CoDel. */
+const TARGET_DELAY_MS = 5;
+
+/**
+ * Delay that may stand relative to the duration of a call. Slots that are busy
+ * all the time need a queue of this order, since each is freed only once per
+ * duration.
+ */
+const TARGET_DELAY_SHARE = 0.5;
 
 /**
  * Step by which a threshold relaxes per interval without standing delay: all
@@ -103,17 +110,22 @@
    *
    * @param oldestDelaysMs Age of the oldest waiting attempt by priority;
    * undefined where none waits.
+   * @param durationMs Expected duration of a call.
    */
-  endInterval(oldestDelaysMs: readonly (number | undefined)[]): void {
+  endInterval(
+    oldestDelaysMs: readonly (number | undefined)[],
+    durationMs: number,
+  ): void {
+    const targetMs = Math.max(TARGET_DELAY_MS, durationMs * TARGET_DELAY_SHARE);
     const oldest = oldestDelaysMs.filter((delayMs) => delayMs !== undefined);
     const least = Math.min(...this.#leastDelaysMs);
     // Without a start in the interval, the waiting attempts show the delay.
     const delayMs = Number.isFinite(least) ? least : Math.max(0, ...oldest);
-    if (oldest.length > 0 && delayMs > TARGET_DELAY_MS) {
+    if (oldest.length > 0 && delayMs > targetMs) {
       const standing = oldestDelaysMs.findIndex((oldestMs, priority) => {
         const startedMs = this.#leastDelaysMs[priority]!;
         return oldestMs !== undefined &&
-          (Number.isFinite(startedMs) ? startedMs : oldestMs) > TARGET_DELAY_MS;
+          (Number.isFinite(startedMs) ? startedMs : oldestMs) > targetMs;
       });
       // Priorities without standing delay fit and are not shed.
       const level = Math.max(
