Bound the delay that may stand to 50 ms

A service whose calls take ten times as long let a queue of ten times the delay stand, and its callers then refused the rest by their deadlines.

--- a/packages/admission/_shedding.ts
+++ b/packages/admission/_shedding.ts
@@ -21,6 +21,9 @@
  */
 const TARGET_DELAY_SHARE = 0.5;
 
+/** Most delay that may stand, so that a slow service sheds early as well. */
+const MOST_TARGET_DELAY_MS = 50;
+
 /**
  * Step by which a threshold relaxes per interval without standing delay: all
  * levels are admitted again 1.6 s after the cause ends, within the target of
@@ -116,7 +119,10 @@
     oldestDelaysMs: readonly (number | undefined)[],
     durationMs: number,
   ): void {
-    const targetMs = Math.max(TARGET_DELAY_MS, durationMs * TARGET_DELAY_SHARE);
+    const targetMs = Math.max(
+      TARGET_DELAY_MS,
+      Math.min(MOST_TARGET_DELAY_MS, durationMs * TARGET_DELAY_SHARE),
+    );
     const oldest = oldestDelaysMs.filter((delayMs) => delayMs !== undefined);
     const least = Math.min(...this.#leastDelaysMs);
     // Without a start in the interval, the waiting attempts show the delay.
