Apply thresholds to root calls only

Calls of a running request wait in the queue by priority and organisation and are not refused by a threshold; its first hop has applied the merged threshold.

--- a/packages/admission/capacity_admission.ts
+++ b/packages/admission/capacity_admission.ts
@@ -1,11 +1,7 @@
 import { type Either, Left } from "purify-ts";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import { create } from "@bufbuild/protobuf";
-import {
-  type PolicyView,
-  type Priority,
-  SHED_KEYS,
-} from "@oleanderdeck/agreement";
+import type { PolicyView, Priority } from "@oleanderdeck/agreement";
 import { DeckError } from "@oleanderdeck/errors";
 import {
   type DemandEntry,
@@ -50,13 +46,6 @@
   readonly mechanisms?: Partial<AdmissionMechanisms>;
 }
 
-/**
- * Levels by which calls of a request that has started are admitted above the
- * threshold. Thresholds change while a request is on its way down the chain,
- * and refusing it deep in the chain wastes the work done for it.
- */
-const STARTED_SLACK = SHED_KEYS;
-
 /** Priority of all requests when priorities are switched off. */
 const NORMAL: Priority = 2;
 
@@ -295,12 +284,11 @@
   }
 
   #thresholdFor(request: AdmissionRequest): number {
-    const threshold = request.forwarded
-      ? this.#ownThreshold()
-      : this.#services.get(request.service)?.threshold() ?? OPEN_THRESHOLD;
-    return request.callingService === undefined
-      ? threshold
-      : Math.min(OPEN_THRESHOLD, threshold + STARTED_SLACK);
+    // Thresholds change while a request is on its way down the chain, and
+    // refusing it there wastes the work done for it. The first hop refuses it.
+    if (request.callingService !== undefined) return OPEN_THRESHOLD;
+    if (request.forwarded) return this.#ownThreshold();
+    return this.#services.get(request.service)?.threshold() ?? OPEN_THRESHOLD;
   }
 
   /** Threshold of the own worker's service, that of its calls merged in. */
