Lengthen windows of the adaptive limit until they have ten calls

A slow worker ends fewer than ten calls in half a second; these windows were dropped, so that its limit stayed reduced after the first reduction.

--- a/packages/leases/adaptive_limit.ts
+++ b/packages/leases/adaptive_limit.ts
@@ -1,10 +1,10 @@
 /** Weight of a window in the long-term duration. */
 const LONG_TERM_WEIGHT = 0.02;
 
-/** Length of a window of durations. */
+/** Least length of a window of durations. */
 const WINDOW_MS = 500;
 
-/** Windows with fewer calls tell too little. */
+/** Least calls of a window. */
 const LEAST_CALLS = 10;
 
 /**
@@ -80,10 +80,11 @@
   record(meanDurationMs: number, calls: number, now: number): void {
     this.#windowCalls += calls;
     this.#windowTotalMs += meanDurationMs * calls;
+    // With few calls a window lasts longer, so that a slow worker's limit
+    // does not stay reduced for lack of calls.
     if (now - this.#windowStart < WINDOW_MS) return;
-    if (this.#windowCalls >= LEAST_CALLS) {
-      this.#endWindow(this.#windowTotalMs / this.#windowCalls);
-    }
+    if (this.#windowCalls < LEAST_CALLS) return;
+    this.#endWindow(this.#windowTotalMs / this.#windowCalls);
     this.#windowStart = now;
     this.#windowCalls = 0;
     this.#windowTotalMs = 0;
