--- a/bench/overload_bench.ts
+++ b/bench/overload_bench.ts
@@ -221,7 +221,7 @@
       : [PRODUCT, NO_CONTROL, FIXED_RETRIES],
     run: async (world) => {
       const from = 5_000;
-      const until = 11_000;
+      const until = 20_000;
       sendAll(world, mixedTraffic("menus", MENUS_CAPACITY * 0.5), 3_000);
       await simulate(world, 3_000);
       sendAll(world, mixedTraffic("menus", MENUS_CAPACITY * factor), until);
@@ -356,7 +356,7 @@
     without("shedding"),
   ],
   run: async (world) => {
-    const until = 14_000;
+    const until = 34_000;
     for (const organisation of ORGANISATIONS) {
       const factor = organisation === "noisy" ? 10 : 1;
       sendAll(world, [{
