Lease from as many workers as a demand needs

A demand of less than one slot per worker was spread over all workers of the data centre. The leases were taken for idle after 5 s and requested again with the next call, with no slot in between. A demand now goes to two workers or one per two slots, chosen by rank so that callers choose different ones.

--- a/packages/admission/_worker_pools.ts
+++ b/packages/admission/_worker_pools.ts
@@ -1,4 +1,8 @@
-import { type DemandEntry, HEADROOM_ENTRY } from "@oleanderdeck/leases";
+import {
+  type DemandEntry,
+  HEADROOM_ENTRY,
+  rankNodes,
+} from "@oleanderdeck/leases";
 import type { Candidate } from "@oleanderdeck/routing";
 import type { Member } from "@oleanderdeck/protocol";
 import type { AdmissionContext } from "./_admission_context.ts";
@@ -12,6 +16,12 @@
 /** Time for which a peer worker without demand keeps its lease. */
 const IDLE_LEASE_MS = 5_000;
 
+/** Least workers that a demand is spread over, for a choice of two. */
+const LEAST_WORKERS = 2;
+
+/** Slots of a lease that are worth its control messages. */
+const SLOTS_PER_LEASE = 2;
+
 /** Standard deviations of a Poisson process for which there is headroom. */
 const HEADROOM_DEVIATIONS = 2;
 
@@ -53,6 +63,7 @@
   readonly #onChange: () => void;
   readonly #pools = new Map<string, PoolUse>();
   #members: readonly Member[] | undefined;
+  #preferred: readonly Member[] | undefined;
 
   /**
    * @param context Collaborators of the node.
@@ -78,6 +89,7 @@
   /** Forgets the cached members after a change of membership. */
   refreshMembers(): void {
     this.#members = undefined;
+    this.#preferred = undefined;
   }
 
   /** Slots that this node may use now. */
@@ -179,7 +191,8 @@
 
   /**
    * Part of the service's demand that one worker is asked for: an even part
-   * over the workers in the own data centre, and what the others do not give.
+   * over as many workers as the demand needs, in the own data centre if there
+   * are any, and a part of what these do not give for the other workers.
    *
    * @param nodeId Node beside the worker.
    */
@@ -188,29 +201,40 @@
     const total = demand.reduce((sum, entry) => sum + entry.amount, 0);
     if (total === 0) return [];
     const wanted = total + HEADROOM_DEVIATIONS * Math.sqrt(total) + 1;
-    const { dataCentre } = this.#context.members.self();
-    const workers = this.members();
-    const local = workers.filter((member) => member.dataCentre === dataCentre);
-    const isLocal = local.some((member) => member.nodeId === nodeId);
-    const first = local.length > 0 ? local : workers;
+    const first = this.#firstWorkers(wanted);
     const even = wanted / first.length;
+    const isFirst = first.some((member) => member.nodeId === nodeId);
     let given = 0;
-    for (const member of isLocal || local.length === 0 ? first : workers) {
+    for (const member of isFirst ? first : this.members()) {
       if (member.nodeId !== nodeId) given += this.#given(member, even);
     }
     const missing = Math.max(0, wanted - given);
-    const remote = workers.length - local.length;
-    const need = isLocal || local.length === 0
-      ? Math.max(even, missing)
-      : missing / remote;
+    const others = this.members().length - first.length;
+    const need = isFirst ? Math.max(even, missing) : missing / others;
+    if (!isFirst && need < 1) return [];
     const use = this.#pools.get(nodeId);
-    if (use !== undefined && need >= 1) {
-      use.wantedAt = this.#context.clock.now();
-    }
-    if (need < 1 && !isLocal && local.length > 0) return [];
+    if (use !== undefined) use.wantedAt = this.#context.clock.now();
     return this.#scale(demand, need / wanted, need * (1 - total / wanted));
   }
 
+  /** Workers that a demand is spread over first. */
+  #firstWorkers(wanted: number): readonly Member[] {
+    if (this.#preferred === undefined) {
+      const { dataCentre, nodeId } = this.#context.members.self();
+      const workers = this.members();
+      const local = workers.filter((member) =>
+        member.dataCentre === dataCentre
+      );
+      const preferred = local.length > 0 ? local : workers;
+      const byId = new Map(preferred.map((member) => [member.nodeId, member]));
+      // Each node prefers others, so that few callers do not share a worker.
+      this.#preferred = rankNodes(nodeId, byId.keys(), preferred.length)
+        .map((name) => byId.get(name)!);
+    }
+    const count = Math.max(LEAST_WORKERS, Math.ceil(wanted / SLOTS_PER_LEASE));
+    return this.#preferred.slice(0, Math.min(count, MOST_LEASES));
+  }
+
   /** Begins to lease slots of workers that the demand needs. */
   #leaseMore(): void {
     const now = this.#context.clock.now();
--- a/packages/admission/capacity_admission_test.ts
+++ b/packages/admission/capacity_admission_test.ts
@@ -194,6 +194,56 @@
   });
 });
 
+test("control messages of a node fit 6 KB/s", async () => {
+  const services = ["a", "b", "c"];
+  const servers = services.flatMap((service) =>
+    [1, 2, 3, 4, 5].map((index) => `${service}-${index}`)
+  );
+  const callers = Array.from({ length: 15 }, (_, index) => `caller-${index}`);
+  const { peers, nodes } = startNodes("node", ...servers, ...callers);
+  const node = nodes[0]!;
+  node.setWorker(worker("own", 60));
+  servers.forEach((name, index) =>
+    nodes[1 + index]!.setWorker(worker(name.split("-")[0]!))
+  );
+  const call = async (from: CapacityAdmission, service: string) => {
+    const answer = await from.admit(request({
+      service,
+      organisation: `organisation-${Math.floor(performance.now()) % 3}`,
+      deadline: performance.now() + 1_000,
+      countsForLimit: false,
+    }));
+    setTimeout(
+      () =>
+        answer.ifRight((attempt) =>
+          attempt.finish({ ...DONE, durationMs: 60 })
+        ),
+      60,
+    );
+  };
+  const run = async (seconds: number) => {
+    for (let step = 0; step < seconds * 100; step++) {
+      await vi.advanceTimersByTimeAsync(10);
+      if (step % 2 === 0) {
+        for (const name of services) void call(node, name);
+      }
+      if (step % 5 !== 0) continue;
+      for (const caller of nodes.slice(16)) void call(caller, "own");
+    }
+  };
+  await run(10);
+  const peer = peers.nodes.get("node")!;
+  const before = { sent: peer.sentBytes, received: peer.receivedBytes };
+  await run(20);
+  const sent = (peer.sentBytes - before.sent) / 20;
+  const received = (peer.receivedBytes - before.received) / 20;
+  process.stdout.write(
+    `DBG ${JSON.stringify(node.services())} ${sent} ${received}\n`,
+  );
+  expect(sent).toBeLessThanOrEqual(6_000);
+  expect(received).toBeLessThanOrEqual(6_000);
+});
+
 test("unknown services and workers are told apart", () => {
   const { nodes: [node] } = startNodes("a");
   const refusal = (service: string) =>
--- a/packages/leases/_fake_peers.ts
+++ b/packages/leases/_fake_peers.ts
@@ -82,7 +82,7 @@
       }),
     ).length;
     from.sentBytes += bytes;
-    from.sentMessages += 1;
+    target.receivedBytes += bytes;
     if (this.drops(message, from.record.nodeId, to)) return true;
     setTimeout(() => {
       if (target.reachable) target.channel.receive(message, from.record);
@@ -96,7 +96,7 @@
   readonly view: FakeMemberView;
   readonly channel: FakeChannel;
   sentBytes = 0;
-  sentMessages = 0;
+  receivedBytes = 0;
   /** Whether the node receives messages. */
   reachable = true;
   record: Member;
