--- a/bench/_overload_world.ts
+++ b/bench/_overload_world.ts
@@ -61,7 +61,8 @@
 /** Times that a caller sends a failed request again. */
 const CALLER_RETRIES = 5;
 
-class BenchPolicies extends PolicyView {
+/** Policies of the benchmarks: equal weights, limits as set. */
+export class BenchPolicies extends PolicyView {
   readonly limits = new Map<string, number>();
 
   service(service: string): ServicePolicy {
