--- a/packages/admission/capacity_admission_test.ts
+++ b/packages/admission/capacity_admission_test.ts
@@ -1,58 +1,21 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import { type Either, Left } from "purify-ts";
+import type { Either } from "purify-ts";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import {
-  type OrganisationPolicy,
-  PolicyView,
-  type Priority,
-  type ServicePolicy,
-} from "@oleanderdeck/agreement";
-import { DeckError } from "@oleanderdeck/errors";
+import type { Priority } from "@oleanderdeck/agreement";
+import type { DeckError } from "@oleanderdeck/errors";
 import { SystemClock } from "@oleanderdeck/settings";
 import { FakePeers } from "../leases/_fake_peers.ts";
-import type { AdmissionRequest, AdmittedAttempt } from "./admission_control.ts";
+import {
+  FakePolicies,
+  testRequest as request,
+  testWorker as worker,
+} from "./_test_fakes.ts";
+import type { AdmittedAttempt } from "./admission_control.ts";
 import { CapacityAdmission } from "./capacity_admission.ts";
 import { UncontrolledAdmission } from "./uncontrolled_admission.ts";
 
 type Answer = Either<DeckError, AdmittedAttempt>;
 
-class FakePolicies extends PolicyView {
-  queueLength = 64;
-
-  service(service: string): ServicePolicy | undefined {
-    return service === "unknown" ? undefined : {
-      service,
-      defaultTimeoutMs: 1_000,
-      maximumTimeoutMs: 10_000,
-      retries: 3,
-      maximumBodyBytes: 1_000_000,
-      queueLength: this.queueLength,
-      progressTimeoutMs: 1_000,
-    };
-  }
-
-  organisation(organisation: string): OrganisationPolicy {
-    return { organisation, weight: 1, callsPerSecond: undefined };
-  }
-
-  organisations(): readonly OrganisationPolicy[] {
-    return [];
-  }
-
-  authenticate(): Either<DeckError, OrganisationPolicy> {
-    return Left(new DeckError("no_agreement"));
-  }
-
-  rule() {
-    return {
-      priority: 2,
-      idempotent: true,
-      permit: "optional",
-      failureCost: 1,
-    } as const;
-  }
-}
-
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
 
@@ -72,32 +35,6 @@
   return { peers, policies, nodes };
 }
 
-function worker(service: string, slots = 10) {
-  return {
-    service,
-    address: `${service}:1`,
-    slots,
-    connectionLimit: 100,
-    warmUpMs: 0,
-    state: "serving" as const,
-  };
-}
-
-function request(changes: Partial<AdmissionRequest> = {}): AdmissionRequest {
-  return {
-    service: "menus",
-    organisation: "co-op",
-    priority: 2,
-    shedKey: 0,
-    deadline: performance.now() + 1_000,
-    excludedNodes: [],
-    countsForLimit: true,
-    forwarded: false,
-    callingService: undefined,
-    ...changes,
-  };
-}
-
 function admitted(answer: Answer | Promise<Answer>): AdmittedAttempt {
   if (answer instanceof Promise) throw new Error("The answer is late");
   return answer.unsafeCoerce();
