--- /dev/null
+++ b/packages/settings/fault.ts
@@ -0,0 +1,75 @@
+import type { z } from "zod";
+
+/** Field names and list positions from the root of a document to a value. */
+export type FaultPath = readonly (string | number)[];
+
+/** One thing that is wrong with a document. */
+export interface Fault {
+  /** Path of the value, for example `operatorTokens[0].role`; empty for the root. */
+  readonly path: string;
+  /** What is wrong, a sentence without a full stop. */
+  readonly message: string;
+}
+
+/** Fault with its place in a text. */
+export interface LocatedFault extends Fault {
+  /** Line of the value or of the object that lacks it, from 1. */
+  readonly line: number;
+  /** Column in UTF-16 code units, from 1. */
+  readonly column: number;
+}
+
+/** Fault whose path is still a list, so that the value can be located. */
+export interface SchemaFault {
+  readonly path: FaultPath;
+  readonly message: string;
+  /** Whether the fault is about a field's name and not about its value. */
+  readonly aboutName: boolean;
+}
+
+const PLAIN_NAME = /^[A-Za-z_][A-Za-z0-9_-]*$/;
+
+/**
+ * Writes a path as text.
+ *
+ * @param path Names and positions from the root.
+ */
+export function formatPath(path: FaultPath): string {
+  return path.map((segment, index) => {
+    if (typeof segment === "number") return `[${segment}]`;
+    if (!PLAIN_NAME.test(segment)) return `[${JSON.stringify(segment)}]`;
+    return index === 0 ? segment : `.${segment}`;
+  }).join("");
+}
+
+/**
+ * Turns the issues of a schema check into faults, one for each unknown field.
+ *
+ * @param error Result of a failed check.
+ */
+export function schemaFaults(error: z.ZodError): readonly SchemaFault[] {
+  return error.issues.flatMap((issue): SchemaFault[] => {
+    const path = issue.path.map((segment) =>
+      typeof segment === "number" ? segment : String(segment)
+    );
+    if (issue.code === "unrecognized_keys") {
+      return issue.keys.map((key) => ({
+        path: [...path, key],
+        message: "The field is not known",
+        aboutName: true,
+      }));
+    }
+    return [{ path, message: issue.message, aboutName: false }];
+  });
+}
+
+/**
+ * Writes a fault as one line, `<source>:<line>:<column>: <path>: <message>`.
+ *
+ * @param source Name of the file.
+ * @param fault Fault in this file.
+ */
+export function formatFault(source: string, fault: LocatedFault): string {
+  const path = fault.path === "" ? "" : `${fault.path}: `;
+  return `${source}:${fault.line}:${fault.column}: ${path}${fault.message}`;
+}
