Add schemas, validation, difference and compiled lookup of documents

Cause: the call path, the operator service and the command-line tool need one definition of agreements and service policies.

Change: documentSchema(name) holds the fields and the checks between them, and validateDocument reports all faults at once. compilePolicy makes a PolicyView: the rule with the longest path prefix applies, paths are normalised first so that an equivalent spelling cannot avoid a rule, rules and valid credentials are cached in bounded caches, and unchanged documents are not read again after a change. An invalid version leaves the one before in force.

Conclusion: rules, defaults and authentication are usable by admission and the call path.

--- a/packages/agreement/mod.ts
+++ b/packages/agreement/mod.ts
@@ -7,3 +7,9 @@
  */
 
 export * from "./policy_view.ts";
+export * from "./agreement_schema.ts";
+export * from "./bounded_cache.ts";
+export * from "./compiled_policy.ts";
+export * from "./document.ts";
+export * from "./document_difference.ts";
+export { RuleTable } from "./rule_table.ts";
