Add the call edge, permit ledger, retry allowance and backend stand-in

The daemon needs a data path to be wired on. The backend stand-in registers with its node and records executions by request identity. Only the main paths are tested so far.

--- /dev/null
+++ b/packages/calls/call_context.ts
@@ -0,0 +1,141 @@
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { type Either, Left, Right } from "purify-ts";
+import type { Priority } from "@oleanderdeck/agreement";
+import { DeckError } from "@oleanderdeck/errors";
+import type { PeerKeys } from "@oleanderdeck/membership";
+import { SIGNATURE_BYTES } from "@oleanderdeck/membership";
+import { type CallContext, CallContextSchema } from "@oleanderdeck/protocol";
+
+/** Fields of a context without those of the protobuf runtime. */
+export type CallContextFields = Omit<CallContext, "$typeName" | "$unknown">;
+
+/** Deepest accepted level of a call; a root request has depth 0. */
+export const MAXIMUM_DEPTH = 32;
+
+const CONTEXT_PURPOSE = "context";
+const FORWARD_PURPOSE = "forward";
+
+/** Child calls of one request carry the same context; this many are kept. */
+const CACHED_CONTEXTS = 2048;
+
+const MAXIMUM_CONTEXT_LENGTH = 2048;
+
+/** Why a node forwards a call to another node. */
+export type ForwardMode =
+  /** The receiver runs the call on its own worker or not at all. */
+  | "serve"
+  /** The receiver issued the permit of the call and acts for the caller. */
+  | "permit";
+
+/** Text of the peer field: mode, sender, and a code over the call. */
+const PEER_FIELD = /^(serve|permit)\.(.{1,128})\.([\w-]{22})$/;
+
+/** Signs and verifies contexts and the field that proves a forwarding node. */
+export class ContextCodec {
+  readonly #keys: PeerKeys;
+  readonly #cache = new Map<string, CallContext>();
+
+  /** @param keys Keys shared by all nodes. */
+  constructor(keys: PeerKeys) {
+    this.#keys = keys;
+  }
+
+  /** Encodes a context as the value of the context field. */
+  encode(fields: CallContextFields): string {
+    const bytes = toBinary(
+      CallContextSchema,
+      create(CallContextSchema, fields),
+    );
+    const signature = this.#keys.sign(CONTEXT_PURPOSE, bytes);
+    return Buffer.concat([signature, bytes]).toString("base64url");
+  }
+
+  /**
+   * Decodes the value of a context field. `malformed_request` for a value that
+   * no node of the fleet has signed.
+   */
+  decode(text: string): Either<DeckError, CallContext> {
+    const known = this.#cache.get(text);
+    if (known !== undefined) return Right(known);
+    const context = this.#decode(text);
+    if (context === undefined) return Left(notAContext());
+    if (this.#cache.size >= CACHED_CONTEXTS) {
+      this.#cache.delete(this.#cache.keys().next().value!);
+    }
+    this.#cache.set(text, context);
+    return Right(context);
+  }
+
+  /**
+   * Makes the value of the peer field of a forwarded call.
+   *
+   * @param sender Node that forwards.
+   * @param call Mode and the parts of the call that the code covers.
+   */
+  signForward(sender: string, call: ForwardedCall): string {
+    const code = this.#keys.sign(FORWARD_PURPOSE, bytesOf(sender, call));
+    return `${call.mode}.${sender}.${Buffer.from(code).toString("base64url")}`;
+  }
+
+  /** Verifies the value of a peer field; undefined when it is not valid. */
+  verifyForward(
+    value: string,
+    call: Omit<ForwardedCall, "mode">,
+  ): ForwardMode | undefined {
+    const match = PEER_FIELD.exec(value);
+    if (match === null) return undefined;
+    const mode = match[1] as ForwardMode;
+    const bytes = bytesOf(match[2]!, { ...call, mode });
+    const code = Buffer.from(match[3]!, "base64url");
+    return this.#keys.verify(FORWARD_PURPOSE, bytes, code) ? mode : undefined;
+  }
+
+  #decode(text: string): CallContext | undefined {
+    if (text.length > MAXIMUM_CONTEXT_LENGTH) return undefined;
+    const bytes = Buffer.from(text, "base64url");
+    const message = bytes.subarray(SIGNATURE_BYTES);
+    const signature = bytes.subarray(0, SIGNATURE_BYTES);
+    if (!this.#keys.verify(CONTEXT_PURPOSE, message, signature)) {
+      return undefined;
+    }
+    try {
+      const context = fromBinary(CallContextSchema, message);
+      return isPlausible(context) ? context : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+}
+
+/** Parts of a forwarded call that its code covers. */
+export interface ForwardedCall {
+  readonly mode: ForwardMode;
+  /** Value of the context field, unique per attempt. */
+  readonly context: string;
+  readonly method: string;
+  /** Whole request target. */
+  readonly url: string;
+}
+
+/** Reads the priority of a context that was decoded by {@linkcode ContextCodec}. */
+export function priorityOf(context: CallContext): Priority {
+  return context.priority as Priority;
+}
+
+function isPlausible(context: CallContext): boolean {
+  return context.priority <= 3 && context.shedKey <= 127 &&
+    context.depth <= MAXIMUM_DEPTH && context.callId.length === 16 &&
+    context.organisation !== "";
+}
+
+function bytesOf(sender: string, call: ForwardedCall): Uint8Array {
+  return Buffer.from(
+    `${sender}\n${call.mode}\n${call.context}\n${call.method} ${call.url}`,
+  );
+}
+
+function notAContext(): DeckError {
+  return new DeckError("malformed_request", {
+    message: "The call context is not valid",
+  });
+}
--- /dev/null
+++ b/packages/calls/call_edge_test.ts
@@ -0,0 +1,145 @@
+import { createHash } from "node:crypto";
+import { afterEach, expect, test } from "vitest";
+import { request } from "undici";
+import type { CallTarget } from "@oleanderdeck/admission";
+import type { RuleQuery } from "@oleanderdeck/agreement";
+import {
+  BackendStandIn,
+  BODY_HASH_FIELD,
+  type EdgeDirectory,
+  OpenAdmission,
+  OpenPolicy,
+  StandaloneEdge,
+} from "@oleanderdeck/testing";
+
+const closers: (() => Promise<void>)[] = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+const policy = new OpenPolicy({
+  services: { menus: {}, bookings: {} },
+  secrets: { lunchtable: "secret" },
+  rule: (query: RuleQuery) => ({ idempotent: query.method === "GET" }),
+});
+
+async function startBackend(service: string): Promise<BackendStandIn> {
+  const backend = new BackendStandIn({ service });
+  await backend.start();
+  closers.push(() => backend.close());
+  return backend;
+}
+
+function direct(address: string, nodeId = "node-1"): CallTarget {
+  return { kind: "direct", nodeId, incarnation: 1n, address, fence: "1.1" };
+}
+
+async function startEdge(
+  targets: Record<string, readonly CallTarget[]>,
+  directory: EdgeDirectory = new Map(),
+  nodeId = "node-1",
+) {
+  const admission = new OpenAdmission(targets);
+  const edge = new StandaloneEdge({ policy, admission, nodeId }, directory);
+  const address = await edge.start();
+  closers.push(() => edge.close());
+  return { admission, edge, url: `http://${address}`, address };
+}
+
+const credential = { "oleanderdeck-credential": "lunchtable:secret" };
+
+// Guards against a broken data path: body and answer must arrive whole.
+test("a call reaches the backend server and its answer returns whole", async () => {
+  const backend = await startBackend("menus");
+  const { url, admission } = await startEdge({
+    menus: [direct(backend.address)],
+  });
+  const body = Buffer.alloc(200_000, 1);
+  const answer = await request(`${url}/menus/photo`, {
+    method: "PUT",
+    headers: {
+      ...credential,
+      [BODY_HASH_FIELD]: createHash("sha256").update(body).digest("hex"),
+    },
+    body,
+  });
+  const received = Buffer.from(await answer.body.arrayBuffer());
+  expect(answer.statusCode).toBe(200);
+  expect(answer.headers["oleanderdeck-run"]).toBe("yes");
+  expect(createHash("sha256").update(received).digest("hex"))
+    .toBe(answer.headers[BODY_HASH_FIELD]);
+  expect(backend.record.counts).toMatchObject({
+    finished: 1,
+    corruptBodies: 0,
+  });
+  expect(admission.results).toMatchObject([{ failure: undefined }]);
+});
+
+// Guards against a second run of a non-idempotent request.
+test("a permit lets a request run once, through any node", async () => {
+  const backend = await startBackend("bookings");
+  const directory: EdgeDirectory = new Map();
+  const targets = { bookings: [direct(backend.address)] };
+  const first = await startEdge(targets, directory, "node-1");
+  const second = await startEdge(targets, directory, "node-2");
+  const issued = await request(`${first.url}/oleanderdeck/v1/permits`, {
+    method: "POST",
+  });
+  const { permit } = await issued.body.json() as { permit: string };
+  const book = async (url: string) => {
+    const answer = await request(`${url}/bookings/book`, {
+      method: "POST",
+      headers: { ...credential, "oleanderdeck-request": permit },
+      body: "seat 4",
+    });
+    return [answer.statusCode, (await answer.body.text()).length];
+  };
+  const answers = await Promise.all([
+    book(first.url),
+    book(second.url),
+    book(first.url),
+  ]);
+  expect(answers).toEqual([[200, 200], [200, 200], [200, 200]]);
+  expect(await book(second.url)).toEqual([200, 200]);
+  expect(backend.record.identities()).toEqual({ [permit]: 1 });
+  const outcome = await request(
+    `${second.url}/oleanderdeck/v1/requests/${permit}`,
+  );
+  expect(await outcome.body.json()).toMatchObject({ state: "answered" });
+});
+
+// Guards against a lost forward: the serving node must accept the signature.
+test("a forwarded call runs on the worker of the serving node", async () => {
+  const backend = await startBackend("menus");
+  const directory: EdgeDirectory = new Map();
+  const serving = await startEdge(
+    { menus: [direct(backend.address, "node-2")] },
+    directory,
+    "node-2",
+  );
+  const calling = await startEdge({
+    menus: [{ ...direct(serving.address, "node-2"), kind: "forward" }],
+  }, directory);
+  const answer = await request(`${calling.url}/menus/list?week=3`, {
+    headers: credential,
+  });
+  expect(answer.statusCode).toBe(200);
+  expect((await answer.body.text()).length).toBe(200);
+  expect(answer.headers["oleanderdeck-unused-retries"]).toBeUndefined();
+  expect(serving.admission.requests).toMatchObject([{ forwarded: true }]);
+  expect(calling.admission.results).toMatchObject([{ threshold: 512 }]);
+});
+
+// Guards against retries that go back to the worker that refused.
+test("a refused connection is retried on another worker", async () => {
+  const backend = await startBackend("menus");
+  const { url, admission } = await startEdge({
+    menus: [direct("127.0.0.1:1", "gone"), direct(backend.address)],
+  });
+  const answer = await request(`${url}/menus/list`, { headers: credential });
+  expect(answer.statusCode).toBe(200);
+  expect(admission.requests.map((attempt) => attempt.excludedNodes))
+    .toEqual([[], ["gone"]]);
+  expect(admission.results[0]?.failure).toBe("connection_refused");
+});
--- a/packages/idempotency/mod.ts
+++ b/packages/idempotency/mod.ts
@@ -1,7 +1,9 @@
 /**
- * Permits and the ledger of non-idempotent requests.
+ * Permits and the ledger of non-idempotent requests: a request begins at most
+ * once under a permit, and repeated requests join it or get its outcome.
  *
  * @module
  */
 
-export {};
+export * from "./permit.ts";
+export * from "./permit_ledger.ts";
--- a/packages/retries/mod.ts
+++ b/packages/retries/mod.ts
@@ -1,7 +1,11 @@
 /**
- * Retry allowance of a call chain, the decision to retry, and the retry budget of each organisation.
+ * Retry allowance of a call chain, the decision to retry, and the retry budget
+ * of each organisation.
  *
  * @module
  */
 
-export {};
+export * from "./allowance.ts";
+export * from "./allowance_ledger.ts";
+export * from "./retry_budget.ts";
+export * from "./retry_policy.ts";
--- /dev/null
+++ b/packages/testing/backend_stand_in_main.ts
@@ -0,0 +1,40 @@
+import { readFileSync } from "node:fs";
+import { cac } from "cac";
+import type { BackendDescription } from "./backend_behaviour.ts";
+import { BackendStandIn } from "./backend_stand_in.ts";
+
+interface Arguments {
+  readonly file?: string;
+  readonly json?: string;
+  readonly node?: string;
+  readonly listen?: string;
+}
+
+const program = cac("backend_stand_in");
+program.command("", "Runs a backend server for tests and the demo")
+  .option("--file <path>", "JSON description of the behaviour")
+  .option("--json <text>", "JSON description of the behaviour")
+  .option("--node <address>", "Call address of the node beside it")
+  .option("--listen <address>", "IP address and port")
+  .action(run);
+program.help();
+program.parse();
+
+async function run(options: Arguments): Promise<void> {
+  const text = options.file === undefined
+    ? options.json ?? "{}"
+    : readFileSync(options.file, "utf8");
+  const description: BackendDescription = {
+    ...JSON.parse(text),
+    ...(options.node === undefined ? {} : { node: options.node }),
+    ...(options.listen === undefined ? {} : { listen: options.listen }),
+  };
+  const standIn = new BackendStandIn(description);
+  const address = await standIn.start();
+  process.stdout.write(
+    `event=started service=${standIn.behaviour.service} address=${address}\n`,
+  );
+  const stop = () => void standIn.leave().then(() => process.exit(0));
+  process.once("SIGTERM", stop);
+  process.once("SIGINT", stop);
+}
--- a/packages/testing/mod.ts
+++ b/packages/testing/mod.ts
@@ -4,4 +4,9 @@
  * @module
  */
 
-export {};
+export * from "./backend_behaviour.ts";
+export * from "./backend_stand_in.ts";
+export * from "./execution_record.ts";
+export * from "./open_admission.ts";
+export * from "./open_policy.ts";
+export * from "./standalone_edge.ts";
