--- a/packages/daemon/mod.ts
+++ b/packages/daemon/mod.ts
@@ -1,7 +1,7 @@
 /**
- * The oleanderdeckd process: start, wiring, warm-up and graceful stop.
+ * The oleanderdeckd process: start, wiring of all packages, and graceful stop.
  *
  * @module
  */
 
-export {};
+export * from "./node.ts";
--- /dev/null
+++ b/packages/daemon/node.ts
@@ -0,0 +1,292 @@
+import { randomBytes } from "node:crypto";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { CapacityAdmission } from "@oleanderdeck/admission";
+import { compilePolicy, type CompiledPolicy } from "@oleanderdeck/agreement";
+import { BackendServerRegistration, CallEdge } from "@oleanderdeck/calls";
+import {
+  ConfigurationReplica,
+  ConfigurationService,
+} from "@oleanderdeck/configuration";
+import { PermitLedger } from "@oleanderdeck/idempotency";
+import {
+  authenticatePeers,
+  Membership,
+  PeerClients,
+  PeerKeys,
+  UdpTransport,
+} from "@oleanderdeck/membership";
+import { EventLog, Metrics } from "@oleanderdeck/observability";
+import { operatorRoutes } from "@oleanderdeck/operator";
+import {
+  AllowanceLedger,
+  ChainRetryPolicy,
+  RetryBudget,
+} from "@oleanderdeck/retries";
+import {
+  type NodeSettings,
+  parseAddress,
+  SystemClock,
+} from "@oleanderdeck/settings";
+import { HttpStore } from "@oleanderdeck/store";
+import { ControlServer } from "./control_server.ts";
+import { OwnWorkerState } from "./own_worker.ts";
+import {
+  FleetRollout,
+  RemoteDocuments,
+  RemoteSettlement,
+} from "./peer_adapters.ts";
+import { peerRoutes } from "./peer_routes.ts";
+import { findSeeds } from "./seeds.ts";
+import { FleetWorkerControl } from "./worker_control.ts";
+
+/** Time between two reports of gauges, in milliseconds. */
+const GAUGE_INTERVAL_MS = 10_000;
+
+/** Time between two looks at the work in progress while stopping, in ms. */
+const STOP_CHECK_MS = 50;
+
+/** Time after which no holder uses a lease of a draining worker, in ms. */
+const LEASES_END_MS = 2500;
+
+function newRandom(): RandomGenerator {
+  return xoroshiro128plus(randomBytes(4).readInt32LE());
+}
+
+/** A node: all parts of `oleanderdeckd` in one process. */
+export class Node {
+  readonly #settings: NodeSettings;
+  readonly #clock = new SystemClock();
+  readonly #log: EventLog;
+  readonly #metrics: Metrics;
+  readonly #store: HttpStore;
+  readonly #membership: Membership;
+  readonly #replica: ConfigurationReplica;
+  readonly #configuration: ConfigurationService;
+  readonly #admission: CapacityAdmission;
+  readonly #own: OwnWorkerState;
+  readonly #registration: BackendServerRegistration;
+  readonly #clients: PeerClients;
+  readonly #control: ControlServer;
+  readonly #edge: CallEdge;
+  #gauges: NodeJS.Timeout | undefined;
+
+  /** @param settings Checked settings. */
+  constructor(settings: NodeSettings) {
+    this.#settings = settings;
+    const clock = this.#clock;
+    const { callAddress, controlAddress, dataCentre, nodeId, region } =
+      settings;
+    const log = new EventLog({ level: settings.logLevel });
+    this.#log = log;
+    this.#metrics = new Metrics({
+      ...settings.metrics,
+      tags: { node: nodeId, data_centre: dataCentre },
+    });
+    const keys = new PeerKeys(settings.peerKeys);
+    this.#store = new HttpStore({
+      origin: settings.storeUrl,
+      timeoutMs: settings.timeouts.storeMs,
+    });
+    this.#clients = new PeerClients({
+      keys,
+      timeoutMs: settings.timeouts.peerMs,
+    });
+    this.#membership = new Membership({
+      nodeId,
+      callAddress,
+      controlAddress,
+      dataCentre,
+      region,
+      peerAddress: settings.peerAddress,
+      transport: new UdpTransport(parseAddress(settings.peerAddress)!),
+      keys,
+      clock,
+      random: newRandom(),
+      seeds: () => findSeeds(settings.seeds, this.#store),
+      pullMembers: async (peer) =>
+        (await this.#clients.client(peer).syncMembers({
+          members: [this.#membership.self()],
+        })).members,
+      log,
+    });
+    const { channel } = this.#membership;
+    this.#replica = new ConfigurationReplica({ compile: compiler(), log });
+    this.#configuration = new ConfigurationService({
+      replica: this.#replica,
+      store: this.#store,
+      members: this.#membership,
+      channel,
+      peer: new RemoteDocuments(this.#clients),
+      clock,
+      random: newRandom(),
+      log,
+    });
+    const policies = () => this.#replica.view();
+    this.#admission = new CapacityAdmission({
+      members: this.#membership,
+      channel,
+      clock,
+      random: newRandom(),
+      policies,
+    });
+    this.#own = new OwnWorkerState({
+      apply: (worker) => this.#admission.setWorker(worker),
+      log,
+    });
+    this.#registration = new BackendServerRegistration({
+      clock,
+      lowestFence: () => this.#admission.lowestValidFence(),
+      onChange: (server) => this.#own.register(server),
+    });
+    const allowances = new AllowanceLedger(clock);
+    const retryRandom = newRandom();
+    this.#edge = new CallEdge({
+      policy: () => this.#replica.isReady() ? policies() : undefined,
+      admission: this.#admission,
+      keys,
+      members: this.#membership,
+      ledger: new PermitLedger({
+        nodeId,
+        incarnation: this.#membership.self().incarnation,
+        clock,
+      }),
+      allowances,
+      retryPolicy: new ChainRetryPolicy(
+        allowances,
+        () => uniformFloat64(retryRandom),
+      ),
+      retryBudget: new RetryBudget(clock),
+      settlement: new RemoteSettlement(this.#clients, this.#membership),
+      registration: this.#registration,
+      metrics: this.#metrics,
+      log,
+      clock,
+    });
+    const operator = operatorRoutes({
+      editor: this.#configuration.editor,
+      replica: this.#replica,
+      members: this.#membership,
+      admission: this.#admission,
+      workers: new FleetWorkerControl({
+        members: this.#membership,
+        clients: this.#clients,
+        own: this.#own,
+      }),
+      rollout: new FleetRollout((name) =>
+        this.#configuration.countVersions(name)
+      ),
+      clock,
+      tokens: settings.operatorTokens,
+      log,
+    });
+    const peers = peerRoutes({
+      replica: this.#replica,
+      membership: this.#membership,
+      allowances,
+      own: this.#own,
+      authentication: authenticatePeers(keys),
+    });
+    this.#control = new ControlServer((router) => {
+      operator(router);
+      peers(router);
+    });
+  }
+
+  /**
+   * Opens all sockets and joins the fleet. Calls are refused as `not_ready`
+   * until the configuration is loaded.
+   *
+   * @throws {Error} If an address is not available.
+   */
+  async start(): Promise<void> {
+    const { callAddress, controlAddress, nodeId, dataCentre } = this.#settings;
+    const { host, port } = parseAddress(callAddress)!;
+    await this.#control.listen(parseAddress(controlAddress)!);
+    await this.#edge.listen(host, port);
+    await this.#membership.start();
+    this.#configuration.start();
+    this.#gauges = setInterval(() => this.#reportGauges(), GAUGE_INTERVAL_MS);
+    this.#log.write("info", "node_started", {
+      node: nodeId,
+      data_centre: dataCentre,
+      call_address: callAddress,
+    });
+  }
+
+  /**
+   * Stops gracefully: the worker gets no new leases, root calls are refused as
+   * `draining`, calls in flight end whole, and the fleet is told.
+   */
+  async close(): Promise<void> {
+    this.#log.write("info", "node_stopping", { node: this.#settings.nodeId });
+    this.#own.stop();
+    this.#edge.drainRootCalls();
+    await this.#waitForWorker();
+    await this.#within(this.#edge.close());
+    await this.#membership.leave();
+    clearInterval(this.#gauges);
+    this.#registration.close();
+    await this.#admission.close();
+    await this.#configuration.close();
+    await this.#control.close();
+    this.#clients.close();
+    await this.#membership.close();
+    await this.#store.close();
+    await this.#metrics.close();
+    this.#log.write("info", "node_stopped", { node: this.#settings.nodeId });
+  }
+
+  // Requests that run on the own worker may make further calls through this
+  // node, so the call port stays open until they have ended.
+  async #waitForWorker(): Promise<void> {
+    const started = this.#clock.now();
+    const end = started + this.#settings.timeouts.stopMs;
+    while (this.#clock.now() < end) {
+      const registered = this.#registration.current !== undefined;
+      const leasesEnded = this.#clock.now() - started >= LEASES_END_MS;
+      if (!registered) return;
+      if (leasesEnded && this.#admission.workerInUse() === 0) return;
+      await this.#clock.sleep(STOP_CHECK_MS);
+    }
+  }
+
+  async #within(closing: Promise<void>): Promise<void> {
+    const timer = new AbortController();
+    const timeout = this.#clock.sleep(
+      this.#settings.timeouts.stopMs,
+      timer.signal,
+    );
+    await Promise.race([closing, timeout]);
+    timer.abort();
+  }
+
+  #reportGauges(): void {
+    const { drops, healthScore, liveMembers, traffic } = this.#membership
+      .counters();
+    const dropped = Object.values(drops)
+      .reduce((total: number, count: number) => total + count, 0);
+    this.#metrics.gauge("members.live", liveMembers);
+    this.#metrics.gauge("members.health_score", healthScore);
+    this.#metrics.gauge("datagrams.dropped", dropped);
+    this.#metrics.gauge("datagrams.sent_bytes", traffic.sentBytes);
+    this.#metrics.gauge("datagrams.received_bytes", traffic.receivedBytes);
+    this.#metrics.gauge(
+      "configuration.version",
+      this.#replica.highestVersion(),
+    );
+    this.#metrics.gauge("calls.in_flight", this.#edge.inFlight);
+  }
+}
+
+type Compiler = ConstructorParameters<
+  typeof ConfigurationReplica
+>[0]["compile"];
+
+// The lookup before a change is kept, so that unchanged documents are not read
+// again.
+function compiler(): Compiler {
+  let previous: CompiledPolicy | undefined;
+  return (documents) => previous = compilePolicy(documents, previous);
+}
--- /dev/null
+++ b/packages/daemon/oleanderdeckd_main.ts
@@ -0,0 +1,76 @@
+import { readFileSync } from "node:fs";
+import { cac } from "cac";
+import {
+  type NodeSettings,
+  nodeSettingsSchema,
+  readJsonc,
+} from "@oleanderdeck/settings";
+import { Node } from "./node.ts";
+
+/** Exit codes of the daemon. */
+const EXIT = { failed: 1, usage: 2 } as const;
+
+const program = cac("oleanderdeckd");
+program.command("", "Runs a node beside a backend server")
+  .option("--settings <file>", "Settings in JSON with comments (required)")
+  .option("--check", "Check the settings and exit")
+  .action(run);
+program.help();
+
+function fail(code: number, lines: readonly string[]): void {
+  lines.forEach((line) => process.stderr.write(`oleanderdeckd: ${line}\n`));
+  process.exitCode = code;
+}
+
+function readSettings(file: string): NodeSettings | undefined {
+  let text: string;
+  try {
+    text = readFileSync(file, "utf8");
+  } catch (error) {
+    fail(EXIT.usage, [`The settings file cannot be read: ${describe(error)}`]);
+    return undefined;
+  }
+  return readJsonc(text, nodeSettingsSchema).caseOf<NodeSettings | undefined>({
+    Left: (faults) => {
+      fail(
+        EXIT.usage,
+        faults.map(({ column, line, message, path }) =>
+          `${file}:${line}:${column}: ${path === "" ? "" : path + ": "}${message}`
+        ),
+      );
+      return undefined;
+    },
+    Right: (settings) => settings,
+  });
+}
+
+function describe(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
+
+async function run(
+  options: { readonly settings?: string; readonly check?: boolean },
+): Promise<void> {
+  if (options.settings === undefined) {
+    return fail(EXIT.usage, ["The option --settings is missing"]);
+  }
+  const settings = readSettings(options.settings);
+  if (settings === undefined || options.check) return;
+  const node = new Node(settings);
+  try {
+    await node.start();
+  } catch (error) {
+    fail(EXIT.failed, [`The node cannot start: ${describe(error)}`]);
+    process.exit();
+  }
+  const stop = () => void node.close().then(() => process.exit(0));
+  process.once("SIGTERM", stop);
+  process.once("SIGINT", stop);
+}
+
+try {
+  program.parse(process.argv, { run: false });
+  await program.runMatchedCommand();
+} catch (error) {
+  fail(EXIT.usage, [describe(error)]);
+}
--- /dev/null
+++ b/packages/daemon/worker_control.ts
@@ -0,0 +1,66 @@
+import { type Either, Left, Right } from "purify-ts";
+import { DeckError } from "@oleanderdeck/errors";
+import type { MemberView, PeerClients } from "@oleanderdeck/membership";
+import { WorkerControl } from "@oleanderdeck/operator";
+import { MemberState } from "@oleanderdeck/protocol";
+import type { OwnWorkerState } from "./own_worker.ts";
+
+/** Options of {@linkcode FleetWorkerControl}. */
+export interface FleetWorkerControlOptions {
+  readonly members: MemberView;
+  readonly clients: PeerClients;
+  readonly own: OwnWorkerState;
+}
+
+/** Drains workers through the node beside each of them. */
+export class FleetWorkerControl extends WorkerControl {
+  readonly #options: FleetWorkerControlOptions;
+
+  /** @param options Members, their clients and the own worker. */
+  constructor(options: FleetWorkerControlOptions) {
+    super();
+    this.#options = options;
+  }
+
+  drain(address: string): Promise<Either<DeckError, void>> {
+    return this.#set(address, true);
+  }
+
+  undrain(address: string): Promise<Either<DeckError, void>> {
+    return this.#set(address, false);
+  }
+
+  async #set(
+    address: string,
+    draining: boolean,
+  ): Promise<Either<DeckError, void>> {
+    const { clients, members, own } = this.#options;
+    if (own.setDrained(address, draining)) return Right(undefined);
+    const member = members.members().find((candidate) =>
+      candidate.worker?.address === address &&
+      (candidate.state === MemberState.ALIVE ||
+        candidate.state === MemberState.SUSPECT)
+    );
+    if (member === undefined) return Left(unknownWorker(address));
+    try {
+      const { found } = await clients.client(member).setWorkerDrain({
+        workerAddress: address,
+        draining,
+      });
+      return found ? Right(undefined) : Left(unknownWorker(address));
+    } catch (cause) {
+      return Left(
+        new DeckError("outcome_unknown", {
+          message: `The node ${member.nodeId} gave no answer`,
+          cause,
+        }),
+      );
+    }
+  }
+}
+
+function unknownWorker(address: string): DeckError {
+  return new DeckError("not_found", {
+    message: `No live member has a worker at ${address}`,
+  });
+}
