Add membership over UDP with probes, gossip and anti-entropy

Peers, leases and configuration need a view of the fleet and signed datagrams. Membership implements SWIM with one task per concern: probes, gossip, suspicion, anti-entropy, pages, first contact and dead members. The upper half of a revision counts content changes, so that claims and refutations need about 30 bytes instead of a full record. Dissemination and anti-entropy each have a byte budget.

--- /dev/null
+++ b/packages/membership/_anti_entropy.ts
@@ -0,0 +1,212 @@
+import { create } from "@bufbuild/protobuf";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import {
+  type Digest,
+  DigestSchema,
+  type Member,
+  MemberPageSchema,
+} from "@oleanderdeck/protocol";
+import { ByteBudget, type ByteBudgetOptions } from "./_byte_budget.ts";
+import { isPeer, type MembershipContext } from "./_context.ts";
+import { Latch } from "./_latch.ts";
+import {
+  compareRecords,
+  contentNumber,
+  encodeMember,
+  requestFor,
+  toClaim,
+} from "./_member_record.ts";
+import {
+  BUCKET_COUNT,
+  lacksContent,
+  type MemberEntry,
+} from "./_member_table.ts";
+
+const EXCHANGE_INTERVAL_MS = 30_000;
+
+/** Time in which a digest from a peer counts as the answer to one's own. */
+const ANSWER_WINDOW_MS = 10_000;
+
+/** Room for records in a page; the rest is signature, sender and framing. */
+const PAGE_ROOM_BYTES = 1050;
+
+const RECORD_FRAMING_BYTES = 3;
+
+/** Records that wait for their page; later ones are left to the next exchange. */
+const MAXIMUM_WAITING_RECORDS = 10_000;
+
+// One page per second on average. The burst lets a peer send 150 full records
+// to a node that has just started.
+const PAGE_BUDGET: ByteBudgetOptions = {
+  bytesPerSecond: 1200,
+  burstBytes: 24_000,
+};
+
+/** `claim` tells the state only, `request` asks the receiver for its record. */
+type Form = "claim" | "record" | "request";
+
+/** Compares records with peers and repairs what dissemination has missed. */
+export class AntiEntropy {
+  readonly #context: MembershipContext;
+  readonly #budget: ByteBudget;
+  readonly #work = new Latch();
+  /** Records to send, by address and node id. */
+  readonly #waiting = new Map<string, Map<string, Form>>();
+  readonly #digestsSentMs = new Map<string, number>();
+  #waitingCount = 0;
+  #differencesSeen = 0;
+
+  constructor(context: MembershipContext) {
+    this.#context = context;
+    this.#budget = new ByteBudget(context.clock, PAGE_BUDGET);
+  }
+
+  /** Number of digests received that differed from the node's own records. */
+  get differencesSeen(): number {
+    return this.#differencesSeen;
+  }
+
+  /** Starts an exchange with a random peer per interval. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.#context;
+    while (!signal.aborted) {
+      const sleepMs = uniformInt(
+        random,
+        EXCHANGE_INTERVAL_MS / 2,
+        EXCHANGE_INTERVAL_MS * 3 / 2,
+      );
+      await clock.sleep(sleepMs, signal);
+      if (!signal.aborted) this.exchange();
+    }
+  }
+
+  /** Sends a digest to a random peer. */
+  exchange(): void {
+    const { random, table } = this.#context;
+    const [peer] = table.sample(
+      random,
+      1,
+      (entry) => isPeer(this.#context, entry),
+    );
+    if (peer !== undefined) this.#sendDigest(peer.member);
+  }
+
+  /** Sends the waiting records in pages until the signal is aborted. */
+  async runPages(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#context;
+    while (!signal.aborted) {
+      if (this.#waiting.size === 0) await this.#work.wait(signal);
+      if (signal.aborted) return;
+      if (this.#budget.available() > 0) this.#sendPage();
+      else await clock.sleep(PROBE_OF_BUDGET_MS, signal);
+    }
+  }
+
+  /** Asks a peer for the record of a member. */
+  request(address: string, nodeId: string): void {
+    this.#enqueue(address, nodeId, "request");
+  }
+
+  /** Sends the record of a member to a peer. */
+  offer(address: string, nodeId: string): void {
+    this.#enqueue(address, nodeId, "record");
+  }
+
+  /** Answers a digest with what the sender may lack. */
+  receiveDigest(digest: Digest, sender: Member): void {
+    const { clock, table } = this.#context;
+    const theirs = digest.memberBuckets;
+    if (theirs.length !== BUCKET_COUNT) return;
+    const own = table.buckets;
+    const differing = own.map((hash, bucket) => hash !== theirs[bucket]);
+    if (!differing.includes(true)) return;
+    this.#differencesSeen += 1;
+    const lastMs = this.#digestsSentMs.get(sender.nodeId) ?? -Infinity;
+    if (clock.now() - lastMs > ANSWER_WINDOW_MS) this.#sendDigest(sender);
+    table.live()
+      .filter((entry) => differing[entry.bucket])
+      .forEach((entry) =>
+        this.#enqueue(
+          sender.peerAddress,
+          entry.member.nodeId,
+          theirs[entry.bucket] === 0n ? "record" : "claim",
+        )
+      );
+  }
+
+  /** Compares a received record with the one held, before it is merged. */
+  receiveRecord(record: Member, entry: MemberEntry, address: string): void {
+    const { nodeId } = record;
+    if (compareRecords(entry.member, record) <= 0) return;
+    const needsContent = !lacksContent(entry) &&
+      (record.incarnation !== entry.member.incarnation ||
+        contentNumber(record.revision) < entry.heldContent);
+    this.#enqueue(address, nodeId, needsContent ? "record" : "claim");
+  }
+
+  #sendDigest(peer: Member): void {
+    const { clock, configuration, link, table } = this.#context;
+    const nowMs = clock.now();
+    for (const [nodeId, sentMs] of this.#digestsSentMs) {
+      if (nowMs - sentMs > ANSWER_WINDOW_MS) this.#digestsSentMs.delete(nodeId);
+    }
+    this.#digestsSentMs.set(peer.nodeId, nowMs);
+    const value = create(DigestSchema, {
+      memberBuckets: [...table.buckets],
+      documents: configuration()?.digest ?? 0n,
+    });
+    link.sendTo(peer.peerAddress, { case: "digest", value });
+  }
+
+  #enqueue(address: string, nodeId: string, form: Form): void {
+    const items = this.#waiting.get(address) ?? new Map<string, Form>();
+    if (items.get(nodeId) === form) return;
+    if (!items.has(nodeId)) {
+      if (this.#waitingCount >= MAXIMUM_WAITING_RECORDS) return;
+      this.#waitingCount += 1;
+    }
+    items.set(nodeId, form);
+    this.#waiting.set(address, items);
+    this.#work.open();
+  }
+
+  #sendPage(): void {
+    const [next] = this.#waiting;
+    if (next === undefined) return;
+    const [address, items] = next;
+    const members: Member[] = [];
+    let room = PAGE_ROOM_BYTES;
+    for (const [nodeId, form] of items) {
+      const member = this.#inForm(nodeId, form);
+      const size = member === undefined
+        ? 0
+        : encodeMember(member).length + RECORD_FRAMING_BYTES;
+      if (size > room) break;
+      room -= size;
+      items.delete(nodeId);
+      this.#waitingCount -= 1;
+      if (member !== undefined) members.push(member);
+    }
+    // Peers take turns, so that a long list for one delays the others little.
+    this.#waiting.delete(address);
+    if (items.size > 0) this.#waiting.set(address, items);
+    if (members.length === 0) return;
+    const value = create(MemberPageSchema, { members });
+    const { bytes } = this.#context.link.sendTo(
+      address,
+      { case: "memberPage", value },
+    );
+    this.#budget.spend(bytes);
+  }
+
+  #inForm(nodeId: string, form: Form): Member | undefined {
+    if (form === "request") return requestFor(nodeId);
+    const entry = this.#context.table.get(nodeId);
+    if (entry === undefined) return undefined;
+    return form === "claim" || lacksContent(entry)
+      ? toClaim(entry.member)
+      : entry.member;
+  }
+}
+
+const PROBE_OF_BUDGET_MS = 200;
--- /dev/null
+++ b/packages/membership/_datagram_codec.ts
@@ -0,0 +1,81 @@
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { type Datagram, DatagramSchema } from "@oleanderdeck/protocol";
+import { MAXIMUM_DATAGRAM_BYTES } from "./datagram_transport.ts";
+import { isValidRecord, MAXIMUM_NODE_ID_LENGTH } from "./_member_record.ts";
+import { type PeerKeys, SIGNATURE_BYTES } from "./peer_keys.ts";
+
+const PURPOSE = "datagram";
+
+/** Why a datagram was dropped. */
+export type DropReason = "oversized" | "signature" | "malformed";
+
+/** Content of a datagram to send. */
+export interface OutgoingDatagram {
+  readonly sender: string;
+  readonly sequence: number;
+  readonly body?: Datagram["body"];
+  /** Encoded member records. */
+  readonly updates?: readonly Uint8Array[];
+}
+
+/**
+ * Encodes and signs a datagram. Records that were encoded before are copied, as
+ * each one is sent dozens of times.
+ */
+export function encodeDatagram(
+  content: OutgoingDatagram,
+  keys: PeerKeys,
+): Uint8Array {
+  const head = toBinary(
+    DatagramSchema,
+    create(DatagramSchema, {
+      sender: content.sender,
+      sequence: content.sequence,
+      body: content.body ?? { case: undefined },
+    }),
+  );
+  const parts = (content.updates ?? []).flatMap((update) => [
+    updateFrame(update.length),
+    update,
+  ]);
+  const message = Buffer.concat([head, ...parts]);
+  return Buffer.concat([keys.sign(PURPOSE, message), message]);
+}
+
+/**
+ * Verifies and decodes a datagram.
+ *
+ * @returns The datagram, or the reason why it has to be dropped.
+ */
+export function decodeDatagram(
+  bytes: Uint8Array,
+  keys: PeerKeys,
+): Datagram | DropReason {
+  if (bytes.length > MAXIMUM_DATAGRAM_BYTES) return "oversized";
+  if (bytes.length <= SIGNATURE_BYTES) return "malformed";
+  const signature = bytes.subarray(0, SIGNATURE_BYTES);
+  const message = bytes.subarray(SIGNATURE_BYTES);
+  if (!keys.verify(PURPOSE, message, signature)) return "signature";
+  try {
+    const datagram = fromBinary(DatagramSchema, message);
+    return isValidDatagram(datagram) ? datagram : "malformed";
+  } catch {
+    return "malformed";
+  }
+}
+
+function isValidDatagram(datagram: Datagram): boolean {
+  const { sender, updates, body } = datagram;
+  const members = body.case === "memberPage" ? body.value.members : [];
+  return sender !== "" && sender.length <= MAXIMUM_NODE_ID_LENGTH &&
+    updates.every(isValidRecord) && members.every(isValidRecord);
+}
+
+const UPDATES_TAG = (DatagramSchema.field.updates.number << 3) | 2;
+const VARINT_LIMIT = 0x80;
+
+function updateFrame(length: number): Uint8Array {
+  return length < VARINT_LIMIT
+    ? Uint8Array.of(UPDATES_TAG, length)
+    : Uint8Array.of(UPDATES_TAG, (length & 0x7f) | 0x80, length >>> 7);
+}
--- /dev/null
+++ b/packages/membership/_disseminator.ts
@@ -0,0 +1,110 @@
+import type { Clock } from "@oleanderdeck/settings";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { Member } from "@oleanderdeck/protocol";
+import { ByteBudget, type ByteBudgetOptions } from "./_byte_budget.ts";
+import { Latch } from "./_latch.ts";
+import type { MemberTable } from "./_member_table.ts";
+import type { PeerLink } from "./_peer_link.ts";
+import { UpdateQueue } from "./_update_queue.ts";
+
+/** Time between two rounds of gossip while there is news. */
+const GOSSIP_INTERVAL_MS = 200;
+
+/** Peers that get the news in each round. */
+const GOSSIP_PEERS = 3;
+
+const SENDS_PER_DOUBLING = 3;
+
+// A change of one record costs a node of a fleet of 5,100 about 8 KB within 3 s,
+// which the burst covers; the rate keeps recoveries of thousands of records
+// within the control budget of 6 KB/s, sent and received together.
+const UPDATE_BUDGET: ByteBudgetOptions = {
+  bytesPerSecond: 1500,
+  burstBytes: 15_000,
+};
+
+/** Bytes of a datagram that are not updates, with the IP and UDP headers. */
+const ENVELOPE_BYTES = 110;
+
+/** Greatest number of bytes of updates in one datagram. */
+export const UPDATE_ROOM_BYTES = 950;
+
+/** Options of {@linkcode Disseminator}. */
+export interface DisseminatorOptions {
+  readonly clock: Clock;
+  readonly random: RandomGenerator;
+  readonly table: MemberTable;
+  readonly link: () => PeerLink;
+  readonly nodeId: string;
+}
+
+/** Spreads news about members by gossip and on probes, at a bounded rate. */
+export class Disseminator {
+  readonly #options: DisseminatorOptions;
+  readonly #queue = new UpdateQueue();
+  readonly #budget: ByteBudget;
+  readonly #news = new Latch();
+
+  constructor(options: DisseminatorOptions) {
+    this.#options = options;
+    this.#budget = new ByteBudget(options.clock, UPDATE_BUDGET);
+  }
+
+  /** Number of updates that still have to be sent. */
+  get pending(): number {
+    return this.#queue.size;
+  }
+
+  /** Sends a record to peers in the next rounds. */
+  announce(record: Member): void {
+    this.#queue.put(record);
+    this.#news.open();
+  }
+
+  /**
+   * Takes updates for a datagram that is sent anyway.
+   *
+   * @param roomBytes Room for updates in the datagram.
+   */
+  piggyback(roomBytes: number = UPDATE_ROOM_BYTES): readonly Uint8Array[] {
+    const room = Math.min(roomBytes, this.#budget.available());
+    const updates = this.#queue.take(room, this.#timesToSend());
+    this.#budget.spend(totalBytes(updates));
+    return updates;
+  }
+
+  /** Sends news in rounds until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    while (!signal.aborted) {
+      if (this.#queue.size === 0) await this.#news.wait(signal);
+      if (!signal.aborted) this.#sendRound();
+      await clock.sleep(GOSSIP_INTERVAL_MS, signal);
+    }
+  }
+
+  #sendRound(): void {
+    const { link, nodeId, random, table } = this.#options;
+    const peers = table.sample(
+      random,
+      GOSSIP_PEERS,
+      (entry) => entry.member.nodeId !== nodeId,
+    );
+    for (const { member } of peers) {
+      if (this.#budget.available() < ENVELOPE_BYTES) return;
+      const updates = this.piggyback();
+      if (updates.length === 0) return;
+      link().sendTo(member.peerAddress, undefined, updates);
+      this.#budget.spend(ENVELOPE_BYTES);
+    }
+  }
+
+  #timesToSend(): number {
+    const members = this.#options.table.liveCount;
+    return Math.ceil(SENDS_PER_DOUBLING * Math.log2(members + 1));
+  }
+}
+
+function totalBytes(parts: readonly Uint8Array[]): number {
+  return parts.reduce((total, part) => total + part.length, 0);
+}
--- /dev/null
+++ b/packages/membership/_member_table.ts
@@ -0,0 +1,256 @@
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { type Member, MemberState } from "@oleanderdeck/protocol";
+import {
+  compareRecords,
+  contentNumber,
+  hashRecord,
+  hashText,
+  isClaim,
+  isLive,
+  isServing,
+} from "./_member_record.ts";
+
+/** Number of buckets that anti-entropy compares. */
+export const BUCKET_COUNT = 64;
+
+/** Share of a new sample in a smoothed round trip time. */
+const ROUND_TRIP_GAIN = 1 / 8;
+
+/** What a node holds about a member. */
+export interface MemberEntry {
+  member: Member;
+  /** Content number of the record held; see {@linkcode contentNumber}. */
+  heldContent: number;
+  /** Bucket of the node id. */
+  readonly bucket: number;
+  /** Position on the probe ring. */
+  readonly ringPosition: number;
+  /** Part of the bucket's hash; 0 for members that are not live. */
+  hash: bigint;
+  /** Time of the last change of state by the local clock. */
+  changedMs: number;
+  /** When a suspect is declared dead. */
+  suspicionEndMs: number;
+  roundTripMs: number | undefined;
+  /** Index in the list of live members, -1 when not live. */
+  liveIndex: number;
+}
+
+/** Outcome of {@linkcode MemberTable.merge}. */
+export interface MergeResult {
+  /** Whether the state, revision or content changed. */
+  readonly changed: boolean;
+  /** Whether the content was replaced, so that it is worth passing on. */
+  readonly newContent: boolean;
+  /** Whether the claim speaks of content that is not held. */
+  readonly lacksContent: boolean;
+}
+
+const UNCHANGED: MergeResult = {
+  changed: false,
+  newContent: false,
+  lacksContent: false,
+};
+
+/** Whether an entry's content is older than its revision says. */
+export function lacksContent(entry: MemberEntry): boolean {
+  return entry.heldContent < contentNumber(entry.member.revision);
+}
+
+/** The records of all members, with the indexes that the tasks need. */
+export class MemberTable {
+  readonly #entries = new Map<string, MemberEntry>();
+  readonly #live: MemberEntry[] = [];
+  readonly #byAddress = new Map<string, MemberEntry>();
+  readonly #buckets = new BigUint64Array(BUCKET_COUNT);
+  readonly #serving = new Map<string, readonly Member[]>();
+  readonly #listeners = new Set<(member: Member) => void>();
+
+  /** Number of live members. */
+  get liveCount(): number {
+    return this.#live.length;
+  }
+
+  /** Hashes of the live records by bucket. */
+  get buckets(): readonly bigint[] {
+    return [...this.#buckets];
+  }
+
+  get(nodeId: string): MemberEntry | undefined {
+    return this.#entries.get(nodeId);
+  }
+
+  /** Entry that took an address last. */
+  atAddress(address: string): MemberEntry | undefined {
+    return this.#byAddress.get(address);
+  }
+
+  entries(): IterableIterator<MemberEntry> {
+    return this.#entries.values();
+  }
+
+  live(): readonly MemberEntry[] {
+    return this.#live;
+  }
+
+  serving(service: string): readonly Member[] {
+    const known = this.#serving.get(service);
+    if (known !== undefined) return known;
+    const members = this.#live.map((entry) => entry.member)
+      .filter((member) => isServing(member, service));
+    this.#serving.set(service, members);
+    return members;
+  }
+
+  /** Chooses distinct live entries at random, fewer if there are not enough. */
+  sample(
+    random: RandomGenerator,
+    count: number,
+    accepts: (entry: MemberEntry) => boolean,
+  ): readonly MemberEntry[] {
+    const chosen = new Set<MemberEntry>();
+    // Twice as many draws as needed find enough entries in all but small
+    // fleets, which are searched in full.
+    if (this.#live.length <= count * 4) {
+      return shuffle(random, this.#live.filter(accepts)).slice(0, count);
+    }
+    for (let draw = 0; draw < count * 4 && chosen.size < count; draw++) {
+      const entry = this.#live[uniformInt(random, 0, this.#live.length - 1)]!;
+      if (accepts(entry)) chosen.add(entry);
+    }
+    return [...chosen];
+  }
+
+  /** Live entry that follows an entry on the probe ring, suspects left out. */
+  successor(of: MemberEntry): MemberEntry | undefined {
+    const distance = (entry: MemberEntry) =>
+      (entry.ringPosition - of.ringPosition + 1) % 1;
+    return this.#live.reduce<MemberEntry | undefined>(
+      (best, entry) =>
+        entry === of || entry.member.state === MemberState.SUSPECT ||
+          (best !== undefined && distance(entry) >= distance(best))
+          ? best
+          : entry,
+      undefined,
+    );
+  }
+
+  /**
+   * Takes a record or a claim if it is newer than what is held. Records of
+   * unknown members are taken only if they are live.
+   */
+  merge(record: Member, nowMs: number): MergeResult {
+    const entry = this.#entries.get(record.nodeId);
+    if (entry === undefined) return this.#insert(record, nowMs);
+    const held = entry.member;
+    const isNewer = compareRecords(record, held) > 0;
+    const isNewIncarnation = record.incarnation > held.incarnation;
+    if (isClaim(record)) {
+      if (!isNewer) return { ...UNCHANGED, lacksContent: lacksContent(entry) };
+      // The content of a new process is needed before it may be used.
+      if (isNewIncarnation && isLive(record)) {
+        return { ...UNCHANGED, lacksContent: true };
+      }
+      const { incarnation, revision, state } = record;
+      if (isNewIncarnation) entry.heldContent = -1;
+      this.#update(entry, { ...held, incarnation, revision, state }, nowMs);
+      return {
+        changed: true,
+        newContent: false,
+        lacksContent: lacksContent(entry) && isLive(record),
+      };
+    }
+    const hasContent = isNewIncarnation ||
+      (record.incarnation === held.incarnation &&
+        contentNumber(record.revision) > entry.heldContent);
+    if (!isNewer && !hasContent) return UNCHANGED;
+    if (hasContent) entry.heldContent = contentNumber(record.revision);
+    const { revision, state } = isNewer ? record : held;
+    const content = hasContent ? record : held;
+    this.#update(entry, { ...content, revision, state }, nowMs);
+    return { changed: true, newContent: hasContent, lacksContent: false };
+  }
+
+  /** Forgets a member. */
+  remove(entry: MemberEntry): void {
+    this.#setLive(entry, false);
+    this.#buckets[entry.bucket]! ^= entry.hash;
+    this.#entries.delete(entry.member.nodeId);
+    if (this.#byAddress.get(entry.member.peerAddress) === entry) {
+      this.#byAddress.delete(entry.member.peerAddress);
+    }
+  }
+
+  /** Adds a sample to the smoothed round trip time. */
+  noteRoundTrip(entry: MemberEntry, sampleMs: number): void {
+    const smoothed = entry.roundTripMs ?? sampleMs;
+    entry.roundTripMs = smoothed + (sampleMs - smoothed) * ROUND_TRIP_GAIN;
+  }
+
+  onChange(listener: (member: Member) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  #insert(record: Member, nowMs: number): MergeResult {
+    if (!isLive(record)) return UNCHANGED;
+    if (isClaim(record)) return { ...UNCHANGED, lacksContent: true };
+    const hash = hashText(record.nodeId);
+    const entry: MemberEntry = {
+      member: record,
+      heldContent: contentNumber(record.revision),
+      bucket: Number(hash % BigInt(BUCKET_COUNT)),
+      ringPosition: Number(hash >> 11n) / 2 ** 53,
+      hash: 0n,
+      changedMs: nowMs,
+      suspicionEndMs: Infinity,
+      roundTripMs: undefined,
+      liveIndex: -1,
+    };
+    this.#entries.set(record.nodeId, entry);
+    this.#update(entry, record, nowMs);
+    return { changed: true, newContent: true, lacksContent: false };
+  }
+
+  #update(entry: MemberEntry, member: Member, nowMs: number): void {
+    const before = entry.member;
+    if (before.state !== member.state) entry.changedMs = nowMs;
+    entry.member = member;
+    if (isLive(member)) this.#byAddress.set(member.peerAddress, entry);
+    this.#setLive(entry, isLive(member));
+    const hash = isLive(member) ? hashRecord(member, entry.heldContent) : 0n;
+    this.#buckets[entry.bucket]! ^= entry.hash ^ hash;
+    entry.hash = hash;
+    this.#serving.delete(before.worker?.service ?? "");
+    this.#serving.delete(member.worker?.service ?? "");
+    this.#listeners.forEach((listener) => listener(member));
+  }
+
+  #setLive(entry: MemberEntry, live: boolean): void {
+    if (live === entry.liveIndex >= 0) return;
+    if (live) {
+      entry.liveIndex = this.#live.push(entry) - 1;
+      return;
+    }
+    const last = this.#live.pop()!;
+    if (last !== entry) {
+      this.#live[entry.liveIndex] = last;
+      last.liveIndex = entry.liveIndex;
+    }
+    entry.liveIndex = -1;
+  }
+}
+
+/** Copy in random order. */
+export function shuffle<Item>(
+  random: RandomGenerator,
+  items: readonly Item[],
+): Item[] {
+  const shuffled = [...items];
+  for (let last = shuffled.length - 1; last > 0; last--) {
+    const other = uniformInt(random, 0, last);
+    [shuffled[last], shuffled[other]] = [shuffled[other]!, shuffled[last]!];
+  }
+  return shuffled;
+}
--- /dev/null
+++ b/packages/membership/membership.ts
@@ -0,0 +1,419 @@
+import { setMaxListeners } from "node:events";
+import { create } from "@bufbuild/protobuf";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { EventLog } from "@oleanderdeck/observability";
+import {
+  type Datagram,
+  type HeldConfiguration,
+  type Member,
+  MemberSchema,
+  MemberState,
+  type Worker,
+} from "@oleanderdeck/protocol";
+import type { Clock } from "@oleanderdeck/settings";
+import { AntiEntropy } from "./_anti_entropy.ts";
+import type { MembershipContext } from "./_context.ts";
+import { DeadMembers } from "./_dead_members.ts";
+import { Disseminator } from "./_disseminator.ts";
+import { Joiner } from "./_joiner.ts";
+import { LocalHealth } from "./_local_health.ts";
+import {
+  compareRecords,
+  encodeMember,
+  isClaim,
+  isLive,
+  MAXIMUM_NODE_ID_LENGTH,
+  MAXIMUM_RECORD_BYTES,
+  nextContentRevision,
+  nextRefutation,
+  toClaim,
+} from "./_member_record.ts";
+import { MemberTable } from "./_member_table.ts";
+import { type DropCounters, PeerLink } from "./_peer_link.ts";
+import { Prober } from "./_prober.ts";
+import { SuspicionTimer } from "./_suspicion.ts";
+import type {
+  DatagramTransport,
+  TransportCounters,
+} from "./datagram_transport.ts";
+import { newIncarnation } from "./incarnation.ts";
+import { MemberView, type PeerChannel } from "./member_view.ts";
+import type { PeerKeys } from "./peer_keys.ts";
+
+/** Options of {@linkcode Membership}. */
+export interface MembershipOptions {
+  /** Unique in the fleet, at most 48 characters. */
+  readonly nodeId: string;
+  /** A new one by {@linkcode newIncarnation} if absent. */
+  readonly incarnation?: bigint;
+  /** Address that peers use; the transport's own if absent. */
+  readonly peerAddress?: string;
+  readonly callAddress: string;
+  readonly controlAddress: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly transport: DatagramTransport;
+  readonly keys: PeerKeys;
+  readonly clock: Clock;
+  readonly random: RandomGenerator;
+  /** Peer addresses of seeds; asked again at each attempt to join. */
+  readonly seeds: () => Promise<readonly string[]>;
+  /**
+   * Asks a peer for its whole list of members, by
+   * {@linkcode Membership.syncMembers} on its side. Datagrams alone are used if
+   * absent, which takes minutes in a fleet of thousands.
+   */
+  readonly pullMembers?: (peer: Member) => Promise<readonly Member[]>;
+  readonly log?: EventLog;
+}
+
+/** Figures about a membership for metrics. */
+export interface MembershipCounters {
+  readonly traffic: TransportCounters;
+  /** Datagrams dropped on receipt, by reason. */
+  readonly drops: DropCounters;
+  /** Score of the node's own health, 0 when it is well. */
+  readonly healthScore: number;
+  /** Updates that still have to be sent to peers. */
+  readonly pendingUpdates: number;
+  readonly liveMembers: number;
+  /** Suspicions of this node that it refuted. */
+  readonly refutations: number;
+}
+
+/** Time that a leave message is repeated to peers before the node may stop. */
+const LEAVE_MS = 1000;
+
+// Within this time after the start, a higher incarnation of the own node id
+// comes from a former process whose wall clock was ahead. Later it comes from a
+// process that has replaced this one.
+const CLOCK_STEP_WINDOW_MS = 30_000;
+
+/** The node's membership of the fleet by SWIM; see section 12 of the design. */
+export class Membership extends MemberView {
+  readonly #options: MembershipOptions;
+  readonly #table = new MemberTable();
+  readonly #link: PeerLink;
+  readonly #disseminator: Disseminator;
+  readonly #context: MembershipContext;
+  readonly #prober: Prober;
+  readonly #suspicion: SuspicionTimer;
+  readonly #antiEntropy: AntiEntropy;
+  readonly #joiner: Joiner;
+  readonly #deadMembers: DeadMembers;
+  readonly #health = new LocalHealth();
+  readonly #stopping = new AbortController();
+  #self: Member;
+  #tasks: Promise<unknown> = Promise.resolve();
+  #startedMs: number | undefined;
+  #refutations = 0;
+  #configuration: () => HeldConfiguration | undefined = () => undefined;
+
+  /**
+   * @param options Identity of the node and what it is made of.
+   * @throws {RangeError} If the node id or the record is too long.
+   */
+  constructor(options: MembershipOptions) {
+    super();
+    const { clock, keys, log, nodeId, random, transport } = options;
+    if (nodeId === "" || nodeId.length > MAXIMUM_NODE_ID_LENGTH) {
+      throw new RangeError(
+        `A node id has 1 to ${MAXIMUM_NODE_ID_LENGTH} characters`,
+      );
+    }
+    this.#options = options;
+    this.#self = checkSize(create(MemberSchema, {
+      nodeId,
+      incarnation: options.incarnation ?? newIncarnation(random),
+      revision: 0,
+      state: MemberState.ALIVE,
+      peerAddress: options.peerAddress ?? "",
+      callAddress: options.callAddress,
+      controlAddress: options.controlAddress,
+      dataCentre: options.dataCentre,
+      region: options.region,
+    }));
+    const table = this.#table;
+    this.#link = new PeerLink({
+      nodeId,
+      transport,
+      keys,
+      table,
+      onDatagram: (datagram, from) => this.#receive(datagram, from),
+    });
+    this.#disseminator = new Disseminator({
+      clock,
+      random,
+      table,
+      nodeId,
+      link: () => this.#link,
+    });
+    const context: MembershipContext = {
+      clock,
+      random,
+      table,
+      link: this.#link,
+      disseminator: this.#disseminator,
+      health: this.#health,
+      log,
+      self: () => this.#self,
+      configuration: () => this.#configuration(),
+      applyOwn: (record) => this.#apply(record, { spread: true }),
+    };
+    this.#context = context;
+    this.#antiEntropy = new AntiEntropy(context);
+    this.#suspicion = new SuspicionTimer(context);
+    this.#prober = new Prober(
+      context,
+      (datagram) => this.#joiner.introduction(datagram),
+    );
+    this.#deadMembers = new DeadMembers(context, this.#prober);
+    this.#joiner = new Joiner({
+      context,
+      prober: this.#prober,
+      antiEntropy: this.#antiEntropy,
+      seeds: options.seeds,
+      pullMembers: options.pullMembers,
+      accept: (records) => this.#acceptList(records),
+    });
+    table.onChange((member) => this.#suspicion.note(member));
+  }
+
+  /** Datagrams to and from members, for other packages. */
+  get channel(): PeerChannel {
+    return this.#link;
+  }
+
+  /**
+   * Opens the transport and starts to join the fleet.
+   *
+   * @throws {Error} If the address is not available.
+   */
+  async start(): Promise<void> {
+    await this.#link.open();
+    const peerAddress = this.#options.peerAddress ??
+      this.#options.transport.address();
+    this.#self = checkSize({ ...this.#self, peerAddress });
+    this.#startedMs = this.#context.clock.now();
+    this.#table.merge(this.#self, this.#startedMs);
+    const { signal } = this.#stopping;
+    // Each task waits with a listener of its own.
+    setMaxListeners(0, signal);
+    this.#tasks = Promise.all([
+      this.#joiner.run(signal),
+      this.#prober.run(signal),
+      this.#disseminator.run(signal),
+      this.#suspicion.run(signal),
+      this.#antiEntropy.run(signal),
+      this.#antiEntropy.runPages(signal),
+      this.#deadMembers.run(signal),
+    ]);
+  }
+
+  /**
+   * Tells the fleet that the node leaves, and resolves after 1 s, when the
+   * message has been sent to enough peers. The node then has to be closed.
+   */
+  async leave(): Promise<void> {
+    this.#changeState(nextRefutation(this.#self.revision), MemberState.LEFT);
+    await this.#context.clock.sleep(LEAVE_MS, this.#stopping.signal);
+  }
+
+  /** Stops all tasks and closes the transport, without a message to peers. */
+  async close(): Promise<void> {
+    this.#stopping.abort();
+    this.#prober.stop();
+    await this.#link.close();
+    await this.#tasks;
+  }
+
+  self(): Member {
+    return this.#self;
+  }
+
+  members(): readonly Member[] {
+    return [...this.#table.entries()].map((entry) => entry.member);
+  }
+
+  find(nodeId: string): Member | undefined {
+    return this.#table.get(nodeId)?.member;
+  }
+
+  servingMembers(service: string): readonly Member[] {
+    return this.#table.serving(service);
+  }
+
+  roundTripMs(nodeId: string): number | undefined {
+    return this.#table.get(nodeId)?.roundTripMs;
+  }
+
+  onChange(listener: (member: Member) => void): () => void {
+    return this.#table.onChange(listener);
+  }
+
+  /** @throws {RangeError} If the record gets longer than 200 bytes. */
+  setWorker(worker: Worker | undefined): void {
+    this.#change(checkSize({
+      ...this.#self,
+      worker,
+      revision: nextContentRevision(this.#self.revision),
+    }));
+  }
+
+  setConfigurationSource(source: () => HeldConfiguration): void {
+    this.#configuration = source;
+  }
+
+  /**
+   * Takes the records of a peer and returns all live ones, for the SyncMembers
+   * call.
+   */
+  syncMembers(records: readonly Member[]): readonly Member[] {
+    this.#acceptList(records);
+    return this.#table.live().map((entry) => entry.member);
+  }
+
+  /** Figures for metrics. */
+  counters(): MembershipCounters {
+    return {
+      traffic: this.#options.transport.counters(),
+      drops: this.#link.drops(),
+      healthScore: this.#health.score,
+      pendingUpdates: this.#disseminator.pending,
+      liveMembers: this.#table.liveCount,
+      refutations: this.#refutations,
+    };
+  }
+
+  #change(record: Member, announced = record): void {
+    this.#self = record;
+    if (this.#startedMs === undefined) return;
+    this.#table.merge(record, this.#context.clock.now());
+    this.#disseminator.announce(announced);
+  }
+
+  #changeState(revision: number, state: MemberState): void {
+    const record = { ...this.#self, revision, state };
+    this.#change(record, toClaim(record));
+  }
+
+  #receive(datagram: Datagram, from: string): void {
+    const { body, sender, updates } = datagram;
+    const origin: Origin = { spread: true, sender, from };
+    for (const update of updates) this.#apply(update, origin);
+    if (body.case === "memberPage") {
+      for (const record of body.value.members) {
+        const entry = this.#table.get(record.nodeId);
+        if (entry !== undefined) {
+          this.#antiEntropy.receiveRecord(record, entry, from);
+        }
+        this.#apply(record, { ...origin, spread: false });
+      }
+    }
+    const known = this.#table.get(sender);
+    if (known === undefined) this.#antiEntropy.request(from, sender);
+    else if (body.case === "digest") {
+      this.#antiEntropy.receiveDigest(body.value, known.member);
+    }
+    this.#prober.receive(datagram, from);
+  }
+
+  #apply(record: Member, origin: Origin): void {
+    if (record.nodeId === this.#self.nodeId) {
+      return this.#hearOfSelf(record);
+    }
+    if (this.#isDoubtful(record, origin.sender)) return;
+    const nowMs = this.#context.clock.now();
+    const holder = isClaim(record)
+      ? undefined
+      : this.#table.atAddress(record.peerAddress)?.member;
+    const before = this.#table.get(record.nodeId)?.member.state;
+    const result = this.#table.merge(record, nowMs);
+    if (result.lacksContent && origin.from !== undefined) {
+      this.#antiEntropy.request(origin.from, record.nodeId);
+    }
+    if (!result.changed) return;
+    const { member } = this.#table.get(record.nodeId)!;
+    if (origin.spread) {
+      this.#disseminator.announce(result.newContent ? member : toClaim(member));
+    }
+    if (before !== member.state) this.#logState(member);
+    if (holder !== undefined) this.#suspectReplaced(holder, member);
+  }
+
+  // A member that is cut off in one direction hears of nobody and accuses
+  // everybody; its peers have declared it dead by then.
+  #isDoubtful(record: Member, sender: string | undefined): boolean {
+    if (sender === undefined || sender === record.nodeId) return false;
+    const accuser = this.#table.get(sender)?.member;
+    return accuser !== undefined && !isLive(accuser) &&
+      (record.state === MemberState.SUSPECT ||
+        record.state === MemberState.DEAD);
+  }
+
+  #suspectReplaced(holder: Member, member: Member): void {
+    const isReplaced = holder.nodeId !== member.nodeId &&
+      holder.state === MemberState.ALIVE && isLive(member) &&
+      holder.incarnation < member.incarnation;
+    if (!isReplaced) return;
+    this.#apply({ ...toClaim(holder), state: MemberState.SUSPECT }, {
+      spread: true,
+    });
+  }
+
+  #hearOfSelf(record: Member): void {
+    const self = this.#self;
+    if (self.state === MemberState.LEFT) return;
+    if (compareRecords(record, self) <= 0) return;
+    if (record.incarnation === self.incarnation) {
+      this.#refutations += 1;
+      this.#changeState(nextRefutation(record.revision), MemberState.ALIVE);
+      return;
+    }
+    const { clock, log } = this.#context;
+    const ageMs = clock.now() - (this.#startedMs ?? clock.now());
+    if (ageMs > CLOCK_STEP_WINDOW_MS) {
+      log?.write("error", "node_id_taken_over", {
+        node: self.nodeId,
+        incarnation: record.incarnation,
+      });
+      return;
+    }
+    log?.write("warn", "incarnation_raised", {
+      node: self.nodeId,
+      incarnation: record.incarnation,
+    });
+    this.#change({ ...self, incarnation: record.incarnation + 1n });
+  }
+
+  #acceptList(records: readonly Member[]): void {
+    records.forEach((record) => this.#apply(record, { spread: false }));
+  }
+
+  #logState(member: Member): void {
+    this.#context.log?.write("info", "member_state_changed", {
+      node: member.nodeId,
+      state: MemberState[member.state].toLowerCase(),
+      incarnation: member.incarnation,
+      revision: member.revision,
+    });
+  }
+}
+
+/** Where a record comes from; the node itself if there is no sender. */
+interface Origin {
+  /** Whether the record is passed on to peers when it is news. */
+  readonly spread: boolean;
+  readonly sender?: string;
+  readonly from?: string;
+}
+
+function checkSize(record: Member): Member {
+  const { length } = encodeMember(record);
+  if (length > MAXIMUM_RECORD_BYTES) {
+    throw new RangeError(
+      `The member record has ${length} bytes, more than ${MAXIMUM_RECORD_BYTES}`,
+    );
+  }
+  return record;
+}
--- /dev/null
+++ b/packages/membership/memory_network.ts
@@ -0,0 +1,142 @@
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { Clock } from "@oleanderdeck/settings";
+import {
+  type DatagramHandler,
+  DatagramTransport,
+} from "./datagram_transport.ts";
+
+/** Behaviour of the links of a {@linkcode MemoryNetwork}. */
+export interface LinkOptions {
+  /** One-way delay in milliseconds. */
+  readonly delayMs: number;
+  /** Greatest additional delay in milliseconds, uniform; it reorders datagrams. */
+  readonly jitterMs: number;
+  /** Share of datagrams that are lost, from 0 to 1. */
+  readonly lossRate: number;
+  /** Share of datagrams that arrive twice, from 0 to 1. */
+  readonly duplicationRate: number;
+}
+
+/** Options of a {@linkcode MemoryNetwork}. */
+export interface MemoryNetworkOptions {
+  readonly clock: Clock;
+  /** Decides about loss, duplication and delay. */
+  readonly random: RandomGenerator;
+  /** Links that differ from 1 ms delay without loss. */
+  readonly link?: Partial<LinkOptions>;
+}
+
+/** Tells whether datagrams from one address reach another. */
+export type Reachability = (from: string, to: string) => boolean;
+
+const DEFAULT_LINK: LinkOptions = {
+  delayMs: 1,
+  jitterMs: 0,
+  lossRate: 0,
+  duplicationRate: 0,
+};
+
+const RATE_STEPS = 1_000_000;
+
+/** Network in memory with seeded faults, for tests. */
+export class MemoryNetwork {
+  readonly #clock: Clock;
+  readonly #random: RandomGenerator;
+  readonly #handlers = new Map<string, DatagramHandler>();
+  #link: LinkOptions;
+  #isReachable: Reachability = () => true;
+
+  /** @param options Clock, generator and behaviour of the links. */
+  constructor(options: MemoryNetworkOptions) {
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#link = { ...DEFAULT_LINK, ...options.link };
+  }
+
+  /** Makes a transport with an address of this network. */
+  transport(address: string): DatagramTransport {
+    return new MemoryTransport(address, this);
+  }
+
+  /** Changes the behaviour of all links from now on. */
+  setLink(link: Partial<LinkOptions>): void {
+    this.#link = { ...this.#link, ...link };
+  }
+
+  /** Cuts links in one or both directions; replaces the cuts made before. */
+  setReachability(isReachable: Reachability): void {
+    this.#isReachable = isReachable;
+  }
+
+  /** @throws {Error} If the address is in use. */
+  attach(address: string, handler: DatagramHandler): void {
+    if (this.#handlers.has(address)) {
+      throw new Error(`Address ${address} is in use`);
+    }
+    this.#handlers.set(address, handler);
+  }
+
+  /** Frees an address; datagrams on the way to it are lost. */
+  detach(address: string): void {
+    this.#handlers.delete(address);
+  }
+
+  /** Carries a datagram, subject to the faults that are set. */
+  carry(from: string, to: string, bytes: Uint8Array): void {
+    if (!this.#isReachable(from, to)) return;
+    if (this.#happens(this.#link.lossRate)) return;
+    const copies = this.#happens(this.#link.duplicationRate) ? 2 : 1;
+    for (let copy = 0; copy < copies; copy++) {
+      void this.#deliver(from, to, bytes.slice());
+    }
+  }
+
+  async #deliver(from: string, to: string, bytes: Uint8Array): Promise<void> {
+    const jitter = uniformInt(this.#random, 0, this.#link.jitterMs);
+    await this.#clock.sleep(this.#link.delayMs + jitter);
+    this.#handlers.get(to)?.(bytes, from);
+  }
+
+  #happens(rate: number): boolean {
+    return rate > 0 &&
+      uniformInt(this.#random, 0, RATE_STEPS - 1) < rate * RATE_STEPS;
+  }
+}
+
+class MemoryTransport extends DatagramTransport {
+  readonly #address: string;
+  readonly #network: MemoryNetwork;
+  #isOpen = false;
+
+  constructor(address: string, network: MemoryNetwork) {
+    super();
+    this.#address = address;
+    this.#network = network;
+  }
+
+  // deno-lint-ignore require-await
+  async open(handler: DatagramHandler): Promise<void> {
+    this.#network.attach(this.#address, (bytes, from) => {
+      this.countReceived(bytes.length);
+      handler(bytes, from);
+    });
+    this.#isOpen = true;
+  }
+
+  address(): string {
+    return this.#address;
+  }
+
+  send(address: string, bytes: Uint8Array): void {
+    if (!this.#isOpen) return this.countSendError();
+    this.countSent(bytes.length);
+    this.#network.carry(this.#address, address, bytes);
+  }
+
+  // deno-lint-ignore require-await
+  async close(): Promise<void> {
+    if (this.#isOpen) this.#network.detach(this.#address);
+    this.#isOpen = false;
+  }
+}
