Add the oleanderdeck command

Cause: operators change documents, drain workers and ask for reasons from a shell and from scripts.

Change: one command with apply, validate, diff, get, list, delete, change, drain, undrain, status, explain and rollout. Documents are JSON with comments; the faults of all files are reported with line and column before anything is stored. A change whose answer was lost is repeated with the same identity, and an outcome that stays unknown names the command that finds it out. Exit codes tell conflict, invalid document and unreachable node apart.

Conclusion: all operator calls are usable from the command line.

--- a/packages/agreement/document.ts
+++ b/packages/agreement/document.ts
@@ -5,7 +5,7 @@
   type SchemaFault,
   schemaFaults,
 } from "@oleanderdeck/settings";
-import type { z } from "zod";
+import { z } from "zod";
 import {
   type Agreement,
   agreementSchema,
@@ -171,6 +171,27 @@
   }, { when: () => true });
 }
 
+/**
+ * Schema of a document whose name follows from its own fields, see
+ * {@linkcode nameOfDocument}.
+ */
+export const anyDocumentSchema: z.ZodType<unknown> = z.unknown().superRefine(
+  (value, context) => {
+    const name = nameOfDocument(value);
+    if (name === undefined) {
+      context.addIssue({
+        code: "custom",
+        path: [],
+        message: "Exactly one of the fields organisation (agreement) and " +
+          "service (policy) is needed",
+      });
+      return;
+    }
+    const { error } = documentSchema(name).safeParse(value);
+    error?.issues.forEach((issue) => context.addIssue({ ...issue }));
+  },
+);
+
 /** Options of {@linkcode readDocument}. */
 export interface ReadDocumentOptions {
   /** Whether unknown fields are left out instead of being faults. */
--- /dev/null
+++ b/packages/command_line/system_commands.ts
@@ -0,0 +1,226 @@
+import type { StatusResponse } from "@oleanderdeck/protocol";
+import { type CommandContext, optionNumber } from "./command_context.ts";
+import { usageError } from "./command_error.ts";
+import { formatTable, writeResult } from "./command_output.ts";
+import { requireName } from "./document_files.ts";
+import { EXIT_CODES, type ExitCode } from "./exit_code.ts";
+import { withConnection } from "./operator_connection.ts";
+
+/** Takes a worker out of service. */
+export async function drain(
+  context: CommandContext,
+  workerAddress: string,
+): Promise<ExitCode> {
+  await withConnection(
+    context,
+    (connection) =>
+      connection.call((client) => client.drain({ workerAddress })),
+  );
+  writeResult(context, {
+    json: { workerAddress, state: "draining" },
+    lines: [`${workerAddress} is draining; its calls in flight are finished`],
+  });
+  return EXIT_CODES.ok;
+}
+
+/** Puts a drained worker back into service. */
+export async function undrain(
+  context: CommandContext,
+  workerAddress: string,
+): Promise<ExitCode> {
+  await withConnection(
+    context,
+    (connection) =>
+      connection.call((client) => client.undrain({ workerAddress })),
+  );
+  writeResult(context, {
+    json: { workerAddress, state: "serving" },
+    lines: [`${workerAddress} is back in service`],
+  });
+  return EXIT_CODES.ok;
+}
+
+function countBy<Item>(
+  items: readonly Item[],
+  key: (item: Item) => string,
+): readonly (readonly [string, number])[] {
+  const counts = new Map<string, number>();
+  items.forEach((item) =>
+    counts.set(key(item), (counts.get(key(item)) ?? 0) + 1)
+  );
+  return [...counts].sort(([a], [b]) => (a < b ? -1 : 1));
+}
+
+function section(
+  title: string,
+  lines: readonly string[],
+): readonly string[] {
+  return lines.length === 0 ? [] : ["", title, ...lines];
+}
+
+function statusLines(
+  status: StatusResponse,
+  showsMembers: boolean,
+): readonly string[] {
+  const { members, services, organisations } = status;
+  const states = countBy(members, ({ state }) => state)
+    .map(([state, count]) => `${count} ${state}`)
+    .join(", ");
+  return [
+    `node         ${status.nodeId}`,
+    `incarnation  ${status.incarnation}`,
+    `data centre  ${status.dataCentre}`,
+    `ready        ${status.ready ? "yes" : "no"}`,
+    `members      ${states || "none"}`,
+    ...section(
+      "Services called through this node",
+      formatTable(
+        ["SERVICE", "RUNNING", "QUEUED", "SLOTS", "THRESHOLD"],
+        services.map((each) => [
+          each.service,
+          each.running,
+          each.queued,
+          each.slots,
+          each.threshold,
+        ]),
+      ),
+    ),
+    ...section(
+      "Organisations since the start of this node",
+      formatTable(
+        ["ORGANISATION", "ADMITTED", "SLOT MS", "BORROWED MS", "REJECTED"],
+        organisations.map((each) => [
+          each.organisation,
+          each.admitted,
+          each.slotMilliseconds,
+          each.borrowedSlotMilliseconds,
+          Object.entries(each.refused)
+            .map(([kind, count]) => `${kind}=${count}`)
+            .join(" "),
+        ]),
+      ),
+    ),
+    ...section(
+      "Members",
+      showsMembers
+        ? formatTable(
+          ["NODE", "DATA CENTRE", "STATE", "SERVICE", "WORKER", "SLOTS", ""],
+          members.map((each) => [
+            each.nodeId,
+            each.dataCentre,
+            each.state,
+            each.service,
+            each.workerAddress,
+            each.slots,
+            each.workerState,
+          ]),
+        )
+        : [],
+    ),
+  ];
+}
+
+function withoutTypeName<Message extends { readonly $typeName: string }>(
+  message: Message,
+): Omit<Message, "$typeName"> {
+  const { $typeName: _, ...fields } = message;
+  return fields;
+}
+
+/** Shows the node, its services and the use by organisations. */
+export async function status(
+  context: CommandContext,
+  showsMembers: boolean,
+): Promise<ExitCode> {
+  const answer = await withConnection(
+    context,
+    (connection) => connection.call((client) => client.status({})),
+  );
+  writeResult(context, {
+    json: {
+      ...withoutTypeName(answer),
+      // A 64-bit incarnation is not exact as a JSON number.
+      incarnation: String(answer.incarnation),
+      members: answer.members.map(withoutTypeName),
+      services: answer.services.map(withoutTypeName),
+      organisations: answer.organisations.map(withoutTypeName),
+    },
+    lines: statusLines(answer, showsMembers),
+  });
+  return EXIT_CODES.ok;
+}
+
+/** Request that {@linkcode explain} asks about, as given on the command line. */
+export interface ExplainArguments {
+  readonly organisation: string;
+  readonly method: string;
+  /** `<service>/<path>` as in the URL of a call. */
+  readonly target: string;
+}
+
+/** Tells why a request would be admitted or rejected now. */
+export async function explain(
+  context: CommandContext,
+  request: ExplainArguments,
+): Promise<ExitCode> {
+  const { organisation, method, target } = request;
+  const match = /^\/?([^/]+)(\/.*)?$/.exec(target);
+  if (match === null) {
+    throw usageError(`The target has the form service/path, not ${target}`);
+  }
+  const [, service, path] = match;
+  const timeoutMilliseconds = optionNumber(context.argv, "--request-timeout") ??
+    0;
+  const { admitted, kind, reasons } = await withConnection(
+    context,
+    (connection) =>
+      connection.call((client) =>
+        client.explain({
+          organisation,
+          service,
+          method: method.toUpperCase(),
+          path: path ?? "/",
+          timeoutMilliseconds,
+        })
+      ),
+  );
+  writeResult(context, {
+    json: { admitted, kind, reasons },
+    lines: [
+      admitted ? "admitted" : `rejected as ${kind}`,
+      ...reasons.map((reason) => `  ${reason}`),
+    ],
+  });
+  return EXIT_CODES.ok;
+}
+
+/** Counts the nodes that hold each version of a document. */
+export async function rollout(
+  context: CommandContext,
+  name: string,
+): Promise<ExitCode> {
+  requireName(name);
+  const { storedVersion, counts } = await withConnection(
+    context,
+    (connection) => connection.call((client) => client.rollout({ name })),
+  );
+  const total = counts.reduce((sum, { nodes }) => sum + nodes, 0);
+  const current = counts
+    .find(({ version }) => version === storedVersion)?.nodes ?? 0;
+  writeResult(context, {
+    json: {
+      name,
+      storedVersion,
+      counts: counts.map(({ version, nodes }) => ({ version, nodes })),
+    },
+    lines: [
+      `${name}: ${current} of ${total} answering nodes hold version ` +
+      `${storedVersion}`,
+      ...formatTable(
+        ["VERSION", "NODES"],
+        counts.map(({ version, nodes }) => [version, nodes]),
+      ),
+    ],
+  });
+  return EXIT_CODES.ok;
+}
--- a/packages/operator/_fakes_test_support.ts
+++ b/packages/operator/_fakes_test_support.ts
@@ -178,6 +178,8 @@
   readonly editor: FakeEditor;
   /** Lines of the event log. */
   readonly lines: readonly string[];
+  /** Destroys all connections. */
+  disconnect(): void;
   close(): Promise<void>;
 }
 
@@ -217,10 +219,11 @@
     server.listen(0, "127.0.0.1", () => resolve())
   );
   const { port } = server.address() as AddressInfo;
+  const disconnect = () => sessions.forEach((session) => session.destroy());
   const close = () =>
     new Promise<void>((resolve) => {
       server.close(() => resolve());
-      sessions.forEach((session) => session.destroy());
+      disconnect();
     });
-  return { address: `127.0.0.1:${port}`, editor, lines, close };
+  return { address: `127.0.0.1:${port}`, editor, lines, disconnect, close };
 }
--- a/packages/settings/jsonc.ts
+++ b/packages/settings/jsonc.ts
@@ -87,6 +87,14 @@
   return [...duplicates, ...below];
 }
 
+/** Keeps one error for each offset; the parser may report a symbol twice. */
+function firstAtOffset(errors: readonly ParseError[]): readonly ParseError[] {
+  const offsets = errors.map(({ offset }) => offset);
+  return errors.filter(({ offset }, index) =>
+    offsets.indexOf(offset) === index
+  );
+}
+
 function nearestNode(root: Node, fault: SchemaFault): Node {
   for (let length = fault.path.length; length > 0; length -= 1) {
     const node = findNodeAtLocation(root, fault.path.slice(0, length));
@@ -134,7 +142,7 @@
     message,
   });
   const structure = [
-    ...errors.map((error) =>
+    ...firstAtOffset(errors).map((error) =>
       located(
         error.offset,
         [],
