Keep the call port open for calls of running requests while a node stops

Cause: a request that runs on the own worker may call deeper services through this node, and a drained edge refused these calls, which cut the request off. Change: while stopping, only root calls are refused, until the lease holders report no call in progress on the worker.

--- a/packages/admission/capacity_admission.ts
+++ b/packages/admission/capacity_admission.ts
@@ -156,6 +156,14 @@
     return this.#context.owner.lowestValidFence();
   }
 
+  /**
+   * Calls in progress on the own worker: those of the node and those that the
+   * holders of leases reported last.
+   */
+  workerInUse(): number {
+    return this.#context.owner.inUse();
+  }
+
   override admit(
     request: AdmissionRequest,
     signal?: AbortSignal,
--- a/packages/calls/call_edge.ts
+++ b/packages/calls/call_edge.ts
@@ -6,7 +6,11 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { DeckError, ERROR_ANSWERS } from "@oleanderdeck/errors";
-import { CONTROL_PREFIX } from "@oleanderdeck/protocol";
+import {
+  CONTEXT_FIELD,
+  CONTROL_PREFIX,
+  PEER_FIELD,
+} from "@oleanderdeck/protocol";
 import { Call } from "./_call.ts";
 import { CallWatch } from "./_call_watch.ts";
 import { type ControlHandler, controlHandler } from "./_control_routes.ts";
@@ -46,6 +50,7 @@
   readonly #parts: EdgeParts;
   readonly #control: ControlHandler;
   #draining = false;
+  #drainingRoots = false;
   #controlCalls = 0;
 
   /** @param options Views and parts of the node. */
@@ -64,7 +69,10 @@
       callIds: new CallIds(self.incarnation),
       durations: new ExpectedDurations(),
     };
-    this.#control = controlHandler(options, () => this.#draining);
+    this.#control = controlHandler(
+      options,
+      () => this.#draining || this.#drainingRoots,
+    );
     this.#server = createServer({
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
       headersTimeout: HEADER_TIMEOUT_MS,
@@ -109,6 +117,15 @@
     this.#draining = true;
   }
 
+  /**
+   * Refuses new root calls as `draining`. Calls with a context are still taken,
+   * because the requests that run on the own worker need them to end whole, and
+   * so are forwarded calls, which the admission refuses for a draining worker.
+   */
+  drainRootCalls(): void {
+    this.#drainingRoots = true;
+  }
+
   /** Refuses new calls as `draining`, and ends when the last call has ended. */
   async close(): Promise<void> {
     this.drain();
@@ -132,7 +149,7 @@
       this.#control(request, response);
       return;
     }
-    if (this.#draining) {
+    if (this.#draining || (this.#drainingRoots && isRoot(request))) {
       return this.#refuse(response, new DeckError("draining"));
     }
     if (this.#options.ready?.() === false) {
@@ -151,11 +168,16 @@
     sendRefusal(
       response,
       error,
-      this.#draining ? ["connection", "close"] : [],
+      this.#draining || this.#drainingRoots ? ["connection", "close"] : [],
     );
   }
 }
 
+function isRoot({ headers }: IncomingMessage): boolean {
+  return headers[CONTEXT_FIELD] === undefined &&
+    headers[PEER_FIELD] === undefined;
+}
+
 /** Answers what the HTTP parser refuses: malformed, oversized or slow headers. */
 function refuseUnreadable(error: NodeJS.ErrnoException, socket: Socket): void {
   // An answer in progress must not be followed by another one.
--- a/packages/daemon/control_server.ts
+++ b/packages/daemon/control_server.ts
@@ -1,4 +1,8 @@
-import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
+import {
+  createServer,
+  type Http2Server,
+  type ServerHttp2Session,
+} from "node:http2";
 import type { ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import type { SocketAddress } from "@oleanderdeck/settings";
--- a/packages/daemon/node.ts
+++ b/packages/daemon/node.ts
@@ -3,7 +3,7 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { CapacityAdmission } from "@oleanderdeck/admission";
-import { compilePolicy, type CompiledPolicy } from "@oleanderdeck/agreement";
+import { type CompiledPolicy, compilePolicy } from "@oleanderdeck/agreement";
 import { BackendServerRegistration, CallEdge } from "@oleanderdeck/calls";
 import {
   ConfigurationReplica,
@@ -270,8 +270,8 @@
     this.#metrics.gauge("members.live", liveMembers);
     this.#metrics.gauge("members.health_score", healthScore);
     this.#metrics.gauge("datagrams.dropped", dropped);
-    this.#metrics.gauge("datagrams.sent_bytes", traffic.sentBytes);
-    this.#metrics.gauge("datagrams.received_bytes", traffic.receivedBytes);
+    this.#metrics.gauge("datagrams.sent_bytes", traffic.bytesSent);
+    this.#metrics.gauge("datagrams.received_bytes", traffic.bytesReceived);
     this.#metrics.gauge(
       "configuration.version",
       this.#replica.highestVersion(),
--- a/packages/daemon/oleanderdeckd_main.ts
+++ b/packages/daemon/oleanderdeckd_main.ts
@@ -35,7 +35,9 @@
       fail(
         EXIT.usage,
         faults.map(({ column, line, message, path }) =>
-          `${file}:${line}:${column}: ${path === "" ? "" : path + ": "}${message}`
+          `${file}:${line}:${column}: ${
+            path === "" ? "" : path + ": "
+          }${message}`
         ),
       );
       return undefined;
--- a/packages/daemon/peer_routes.ts
+++ b/packages/daemon/peer_routes.ts
@@ -35,7 +35,9 @@
   return (router) => {
     router.service(PeerService, {
       fetchDocuments({ held, names }) {
-        if (!replica.isReady()) throw toConnectError(new DeckError("not_ready"));
+        if (!replica.isReady()) {
+          throw toConnectError(new DeckError("not_ready"));
+        }
         const documents = selectNewerDocuments(replica, {
           held: held.map(({ name, version }) => ({
             name,
--- a/packages/demo/deployment.ts
+++ b/packages/demo/deployment.ts
@@ -3,8 +3,8 @@
 import { z } from "zod";
 import { formatFault, readJsonc } from "@oleanderdeck/settings";
 import {
-  type BackendDescription,
   backendBehaviourSchema,
+  type BackendDescription,
 } from "@oleanderdeck/testing";
 
 /** Ports that are the same on every host of a demonstration. */
--- a/packages/leases/slot_lease_owner.ts
+++ b/packages/leases/slot_lease_owner.ts
@@ -168,6 +168,13 @@
     return Math.max(1, Math.floor(Math.min(worker.slots * warmth, limit)));
   }
 
+  /** Calls in progress: own ones and those that holders reported last. */
+  inUse(): number {
+    let sum = this.#ownRunning;
+    for (const holder of this.#holders.values()) sum += holder.inUse;
+    return sum;
+  }
+
   /** Slots that holders may use at this moment. */
   leasedSlots(): number {
     const now = this.#options.clock.now();
