--- a/packages/calls/_call.ts
+++ b/packages/calls/_call.ts
@@ -135,6 +135,7 @@
     this.#permit?.keepHeader(status, lines);
     if (this.#permit !== undefined) lines.push(REQUEST_FIELD, this.#identity);
     if (this.#intake.mode !== undefined) this.#pushPeerLines(lines);
+    if (this.#edge.isDraining()) lines.push("connection", "close");
     if (!this.#callerGone) this.#response.writeHead(status, reason, lines);
   }
 
--- a/packages/calls/_edge_parts.ts
+++ b/packages/calls/_edge_parts.ts
@@ -18,6 +18,8 @@
   readonly watch: CallWatch;
   readonly callIds: CallIds;
   readonly durations: ExpectedDurations;
+  /** Whether new calls are refused. */
+  readonly isDraining: () => boolean;
 }
 
 /** Makes identities of attempts: incarnation and number, big-endian. */
--- a/packages/calls/call_edge.ts
+++ b/packages/calls/call_edge.ts
@@ -63,6 +63,7 @@
       watch: new CallWatch(options.clock),
       callIds: new CallIds(self.incarnation),
       durations: new ExpectedDurations(),
+      isDraining: () => this.#draining,
     };
     this.#control = controlHandler(options, () => this.#draining);
     this.#server = createServer({
--- a/packages/calls/call_edge_test.ts
+++ b/packages/calls/call_edge_test.ts
@@ -1,59 +1,32 @@
 import { createHash } from "node:crypto";
 import { afterEach, expect, test } from "vitest";
 import { request } from "undici";
-import type { CallTarget } from "@oleanderdeck/admission";
 import type { RuleQuery } from "@oleanderdeck/agreement";
 import {
-  BackendStandIn,
   BODY_HASH_FIELD,
-  type EdgeDirectory,
-  OpenAdmission,
+  directTarget,
+  EdgeFixture,
+  forwardTarget,
   OpenPolicy,
-  StandaloneEdge,
 } from "@oleanderdeck/testing";
 
-const closers: (() => Promise<void>)[] = [];
-
-afterEach(async () => {
-  for (const close of closers.splice(0).reverse()) await close();
-});
-
 const policy = new OpenPolicy({
   services: { menus: {}, bookings: {} },
   secrets: { lunchtable: "secret" },
   rule: (query: RuleQuery) => ({ idempotent: query.method === "GET" }),
 });
 
-async function startBackend(service: string): Promise<BackendStandIn> {
-  const backend = new BackendStandIn({ service });
-  await backend.start();
-  closers.push(() => backend.close());
-  return backend;
-}
+const fixture = new EdgeFixture(policy);
 
-function direct(address: string, nodeId = "node-1"): CallTarget {
-  return { kind: "direct", nodeId, incarnation: 1n, address, fence: "1.1" };
-}
-
-async function startEdge(
-  targets: Record<string, readonly CallTarget[]>,
-  directory: EdgeDirectory = new Map(),
-  nodeId = "node-1",
-) {
-  const admission = new OpenAdmission(targets);
-  const edge = new StandaloneEdge({ policy, admission, nodeId }, directory);
-  const address = await edge.start();
-  closers.push(() => edge.close());
-  return { admission, edge, url: `http://${address}`, address };
-}
+afterEach(() => fixture.close());
 
 const credential = { "oleanderdeck-credential": "lunchtable:secret" };
 
 // Guards against a broken data path: body and answer must arrive whole.
 test("a call reaches the backend server and its answer returns whole", async () => {
-  const backend = await startBackend("menus");
-  const { url, admission } = await startEdge({
-    menus: [direct(backend.address)],
+  const backend = await fixture.backend({ service: "menus" });
+  const { url, admission } = await fixture.edge({
+    menus: [directTarget(backend.address)],
   });
   const body = Buffer.alloc(200_000, 1);
   const answer = await request(`${url}/menus/photo`, {
@@ -78,11 +51,10 @@
 
 // Guards against a second run of a non-idempotent request.
 test("a permit lets a request run once, through any node", async () => {
-  const backend = await startBackend("bookings");
-  const directory: EdgeDirectory = new Map();
-  const targets = { bookings: [direct(backend.address)] };
-  const first = await startEdge(targets, directory, "node-1");
-  const second = await startEdge(targets, directory, "node-2");
+  const backend = await fixture.backend({ service: "bookings" });
+  const targets = { bookings: [directTarget(backend.address)] };
+  const first = await fixture.edge(targets);
+  const second = await fixture.edge(targets, { nodeId: "node-2" });
   const issued = await request(`${first.url}/oleanderdeck/v1/permits`, {
     method: "POST",
   });
@@ -111,16 +83,14 @@
 
 // Guards against a lost forward: the serving node must accept the signature.
 test("a forwarded call runs on the worker of the serving node", async () => {
-  const backend = await startBackend("menus");
-  const directory: EdgeDirectory = new Map();
-  const serving = await startEdge(
-    { menus: [direct(backend.address, "node-2")] },
-    directory,
-    "node-2",
+  const backend = await fixture.backend({ service: "menus" });
+  const serving = await fixture.edge(
+    { menus: [directTarget(backend.address, "node-2")] },
+    { nodeId: "node-2" },
   );
-  const calling = await startEdge({
-    menus: [{ ...direct(serving.address, "node-2"), kind: "forward" }],
-  }, directory);
+  const calling = await fixture.edge({
+    menus: [forwardTarget(serving.address, "node-2")],
+  });
   const answer = await request(`${calling.url}/menus/list?week=3`, {
     headers: credential,
   });
@@ -133,9 +103,9 @@
 
 // Guards against retries that go back to the worker that refused.
 test("a refused connection is retried on another worker", async () => {
-  const backend = await startBackend("menus");
-  const { url, admission } = await startEdge({
-    menus: [direct("127.0.0.1:1", "gone"), direct(backend.address)],
+  const backend = await fixture.backend({ service: "menus" });
+  const { url, admission } = await fixture.edge({
+    menus: [directTarget("127.0.0.1:1", "gone"), directTarget(backend.address)],
   });
   const answer = await request(`${url}/menus/list`, { headers: credential });
   expect(answer.statusCode).toBe(200);
--- /dev/null
+++ b/packages/calls/malformed_requests_test.ts
@@ -0,0 +1,135 @@
+import { once } from "node:events";
+import { connect } from "node:net";
+import fc from "fast-check";
+import { afterEach, expect, test } from "vitest";
+import { request } from "undici";
+import { directTarget, EdgeFixture, OpenPolicy } from "@oleanderdeck/testing";
+import { shedKeyOf, splitTarget } from "./_intake.ts";
+
+const fixture = new EdgeFixture(
+  new OpenPolicy({ services: { menus: { progressTimeoutMs: 100 } } }),
+);
+
+afterEach(() => fixture.close());
+
+async function sendBytes(address: string, bytes: string): Promise<string> {
+  const [host, port] = address.split(":");
+  const socket = connect(Number(port), host);
+  let received = "";
+  socket.on("data", (chunk) => received += chunk.toString("latin1"));
+  socket.on("error", () => {});
+  socket.end(bytes, "latin1");
+  await once(socket, "close");
+  return received;
+}
+
+const fieldName = fc.constantFrom(
+  "oleanderdeck-credential",
+  "oleanderdeck-context",
+  "oleanderdeck-request",
+  "oleanderdeck-timeout-ms",
+  "oleanderdeck-retries",
+  "oleanderdeck-peer",
+  "oleanderdeck-fence",
+  "content-length",
+  "transfer-encoding",
+  "connection",
+  "expect",
+  "host",
+  "upgrade",
+);
+const line = fc.tuple(
+  fieldName,
+  fc.oneof(
+    fc.string({ maxLength: 40 }),
+    fc.constantFrom("chunked", "-1", "1e9", "0", "5", "close", "\u00ff", ""),
+  ),
+).map(([name, value]) => `${name}: ${value}\r\n`);
+const rawRequest = fc.tuple(
+  fc.constantFrom("GET", "POST", "CONNECT", "HEAD", "OPTIONS", "ZZ", ""),
+  fc.oneof(
+    fc.constantFrom("/menus/list", "*", "/", "//", "/menus/%zz", "/menus/../x"),
+    fc.webPath(),
+    fc.string({ maxLength: 60 }),
+  ),
+  fc.array(line, { maxLength: 6 }),
+  fc.string({ maxLength: 30 }),
+).map(([method, target, lines, body]) =>
+  `${method} ${target} HTTP/1.1\r\n${lines.join("")}\r\n${body}`
+);
+
+// Guards against a crash, or a lost edge, by anything a caller may send.
+test("generated requests leave the edge usable", async () => {
+  const backend = await fixture.backend({ service: "menus" });
+  const edge = await fixture.edge({ menus: [directTarget(backend.address)] });
+  const property = fc.asyncProperty(
+    fc.oneof(rawRequest, fc.string({ maxLength: 200 })),
+    async (bytes) => {
+      const received = await sendBytes(edge.address, bytes);
+      if (received !== "") expect(received).toMatch(/^HTTP\/1\.1 \d{3} /);
+    },
+  );
+  await fc.assert(property, { numRuns: 300, seed: 20_260_104 });
+  const answer = await request(`${edge.url}/menus/list`);
+  expect(answer.statusCode).toBe(200);
+  expect(edge.node.edge.inFlight).toBe(0);
+});
+
+// Guards against callers that set what only nodes may tell a backend server.
+test("fields of the node are taken from callers", async () => {
+  const heads: string[] = [];
+  const address = await fixture.rawServer((socket) =>
+    socket.on("data", (chunk) => {
+      heads.push(chunk.toString());
+      socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+    })
+  );
+  const edge = await fixture.edge({ menus: [directTarget(address)] });
+  await request(`${edge.url}/menus/list`, {
+    headers: {
+      "oleanderdeck-fence": "9.9",
+      "oleanderdeck-attempt": "7",
+      "oleanderdeck-run": "no",
+      "x-menu": "week 3",
+    },
+  });
+  expect(heads[0]).toContain("x-menu: week 3");
+  expect(heads[0]).toContain("oleanderdeck-fence: 1.1");
+  expect(heads[0]).toContain("oleanderdeck-attempt: 1");
+  expect(heads[0]).not.toContain("oleanderdeck-run");
+});
+
+// Guards against forged contexts and forwards.
+test.each([
+  ["oleanderdeck-context", "AAAAAAAAAAAAAAAAAAAAAAAA"],
+  ["oleanderdeck-peer", "serve.node-2.AAAAAAAAAAAAAAAAAAAAAA"],
+  ["oleanderdeck-timeout-ms", "soon"],
+  ["oleanderdeck-request", "a b"],
+])("%s: %s is refused", async (name, value) => {
+  const edge = await fixture.edge({ menus: [] });
+  const answer = await request(`${edge.url}/menus/list`, {
+    headers: { [name]: value },
+  });
+  expect(answer.headers["oleanderdeck-error"]).toBe("malformed_request");
+});
+
+// Guards against paths that the rule lookup and a backend server read apart.
+test("ambiguous targets are refused", () => {
+  ["/a/../b", "/a//b", "/a/%2e%2e/b", "/a/.", "/a/%2f%2fb", "/a/%zz", "/", ""]
+    .forEach((url) => expect(splitTarget(url)).toBeUndefined());
+  expect(splitTarget("/a/b%20c?d=/../e")).toEqual({
+    service: "a",
+    target: "/b%20c?d=/../e",
+    rulePath: "/b c",
+  });
+});
+
+// Guards against shed keys that leave parts of their range unused.
+test("shed keys are spread evenly", () => {
+  const counts = new Array<number>(128).fill(0);
+  for (let number = 0; number < 12_800; number++) {
+    counts[shedKeyOf(Buffer.from(`node-1-4fz-${number.toString(36)}`))]!++;
+  }
+  expect(Math.min(...counts)).toBeGreaterThan(50);
+  expect(Math.max(...counts)).toBeLessThan(200);
+});
--- a/packages/retries/retry_policy.ts
+++ b/packages/retries/retry_policy.ts
@@ -1,4 +1,4 @@
-import { ERROR_ANSWERS, type ErrorKind, type Run } from "@oleanderdeck/errors";
+import type { ErrorKind, Run } from "@oleanderdeck/errors";
 import { Allowance } from "./allowance.ts";
 import type { AllowanceLedger } from "./allowance_ledger.ts";
 
@@ -8,6 +8,25 @@
 /** Greatest bound of the random wait before a retry, in milliseconds. */
 const GREATEST_BACKOFF_MS = 100;
 
+/**
+ * Refusals by one worker or node that another one may accept. Shedding and
+ * limits are not among them, because they hold for the whole service.
+ */
+const REFUSED_BY_ONE_WORKER: ReadonlySet<ErrorKind> = new Set([
+  "worker_refused",
+  "connection_refused",
+  "queue_full",
+  "no_worker",
+  "not_ready",
+  "draining",
+]);
+
+/** Failures after which it is unknown whether the request has run. */
+const LOST_ANSWERS: ReadonlySet<ErrorKind> = new Set([
+  "connection_lost",
+  "answer_cut",
+]);
+
 /** Failed attempt that may be made again. */
 export interface AttemptFailure {
   readonly kind: ErrorKind;
@@ -55,9 +74,9 @@
  */
 export function maySendAgain(failure: AttemptFailure): boolean {
   if (!failure.bodyResendable) return false;
-  if (failure.run === "no") return ERROR_ANSWERS[failure.kind].retryable;
+  if (failure.run === "no") return REFUSED_BY_ONE_WORKER.has(failure.kind);
   return failure.idempotent && failure.run === "unknown" &&
-    ERROR_ANSWERS[failure.kind].retryable;
+    LOST_ANSWERS.has(failure.kind);
 }
 
 /** Allowance of the whole call chain, handed down in signed contexts. */
