--- a/packages/leases/_lease_ledger.ts
+++ b/packages/leases/_lease_ledger.ts
@@ -29,6 +29,11 @@
     this.#grants = earlier === undefined ? [] : earlier.#grants;
   }
 
+  /** Amount in use as the holder reported last. */
+  get inUse(): number {
+    return this.#inUse;
+  }
+
   /** Amount that the holder may use, by any grant that may have reached it. */
   committed(now: number): number {
     let amount = this.until > now ? this.#inUse : 0;
@@ -122,6 +127,13 @@
     }
   }
 
+  /** Amount in use as all holders reported last. */
+  inUse(): number {
+    let sum = 0;
+    for (const holder of this.#holders.values()) sum += holder.inUse;
+    return sum;
+  }
+
   /** Amount that all holders may use, one of them left out if given. */
   committed(now: number, except?: HolderRecord): number {
     let sum = 0;
--- a/packages/leases/slot_lease_owner.ts
+++ b/packages/leases/slot_lease_owner.ts
@@ -149,9 +149,7 @@
 
   /** Calls in progress: own ones and those that holders reported last. */
   inUse(): number {
-    let sum = this.#ownRunning;
-    for (const holder of this.#holders.values()) sum += holder.inUse;
-    return sum;
+    return this.#ownRunning + this.#ledger.inUse();
   }
 
   /** Slots that holders may use at this moment. */
