--- /dev/null
+++ b/packages/demo/demonstration.ts
@@ -0,0 +1,188 @@
+import { randomBytes } from "node:crypto";
+import { createHash } from "node:crypto";
+import { execFile } from "node:child_process";
+import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { promisify } from "node:util";
+import {
+  type LoadDescription,
+  loadDescriptionSchema,
+  type LoadReport,
+  runLoad,
+} from "@oleanderdeck/load";
+import { formatFault, readJsonc } from "@oleanderdeck/settings";
+import {
+  type DeployedHost,
+  type Deployment,
+  readDeployment,
+  writeHosts,
+} from "./deployment.ts";
+import { RunningDeployment } from "./running_deployment.ts";
+import { setSlowFactor, type StandInState } from "./stand_in_control.ts";
+
+/** Factor of the service times of the slowed service. */
+const SLOW_FACTOR = 10;
+
+/** Time that the fleet has to settle before the load, in milliseconds. */
+const SETTLE_MS = 1500;
+
+/** Directories that a demonstration needs. */
+export interface DemonstrationOptions {
+  /** Directory of the built programs. */
+  readonly programs: string;
+  /** Directory of the example deployments. */
+  readonly examples: string;
+  /** Receives lines about the progress. */
+  readonly report: (line: string) => void;
+}
+
+/** Result of a demonstration. */
+export interface DemonstrationResult {
+  readonly deployment: Deployment;
+  readonly load: LoadReport;
+  readonly description: LoadDescription;
+  readonly standIns: readonly StandInState[];
+  /** Whether the host that was stopped ended by itself and without an error. */
+  readonly stoppedCleanly: boolean;
+}
+
+/** Phases of the load descriptions, by index. */
+export const PHASES = {
+  steady: 0,
+  surge: 1,
+  afterSurge: 2,
+  slow: 3,
+  afterSlow: 4,
+  killed: 5,
+  stopped: 6,
+} as const;
+
+/** Time span of a phase, in milliseconds since the start of the load. */
+export function phaseSpan(
+  description: LoadDescription,
+  index: number,
+): { readonly startMs: number; readonly endMs: number } {
+  const startMs = description.phases.slice(0, index)
+    .reduce((sum, { durationMs }) => sum + durationMs, 0);
+  return { startMs, endMs: startMs + description.phases[index]!.durationMs };
+}
+
+function readLoad(path: string): LoadDescription {
+  return readJsonc(readFileSync(path, "utf8"), loadDescriptionSchema).caseOf({
+    Left: (faults) => {
+      throw new Error(
+        faults.map((fault) => formatFault(path, fault)).join("\n"),
+      );
+    },
+    Right: (description) => description,
+  });
+}
+
+/** One deployment that is started, put under load and faults, and stopped. */
+export class Demonstration {
+  readonly #options: DemonstrationOptions;
+  readonly #directory = mkdtempSync(join(tmpdir(), "oleanderdeck-demo-"));
+  readonly #deployment: Deployment;
+  readonly #description: LoadDescription;
+  readonly #token = randomBytes(24).toString("base64url");
+  readonly #hosts: readonly DeployedHost[];
+  readonly #running: RunningDeployment;
+
+  /**
+   * @param name Name of a directory among the examples.
+   * @param options Directories.
+   */
+  constructor(name: string, options: DemonstrationOptions) {
+    this.#options = options;
+    const directory = join(options.examples, name);
+    this.#deployment = readDeployment(join(directory, "deployment.jsonc"));
+    this.#description = readLoad(join(directory, "load.jsonc"));
+    this.#hosts = writeHosts(this.#deployment, {
+      directory: this.#directory,
+      peerKey: randomBytes(24).toString("base64url"),
+      operatorTokenHash: createHash("sha256").update(this.#token).digest("hex"),
+    });
+    this.#running = new RunningDeployment({
+      deployment: this.#deployment,
+      hosts: this.#hosts,
+      programs: options.programs,
+    });
+  }
+
+  /**
+   * Runs the demonstration.
+   *
+   * @throws {Error} If a process ended or did not start.
+   */
+  async run(): Promise<DemonstrationResult> {
+    const { report } = this.#options;
+    const { demo, name } = this.#deployment;
+    report(`${name}: starting ${this.#hosts.length} hosts`);
+    this.#running.start();
+    await this.#running.waitUntilReady();
+    report(`${name}: applying the documents`);
+    await this.#apply();
+    await sleep(SETTLE_MS);
+    report(`${name}: load and faults`);
+    const loading = runLoad(this.#description);
+    const stopping = this.#bringAboutFaults();
+    const load = await loading;
+    const stoppedCleanly = await stopping;
+    this.#running.checkProcesses();
+    const standIns = await this.#running.readStandIns();
+    report(`${name}: ${demo.stoppedHost} stopped, reading the results`);
+    return {
+      deployment: this.#deployment,
+      description: this.#description,
+      load,
+      standIns,
+      stoppedCleanly,
+    };
+  }
+
+  /** Stops all processes and removes the files. */
+  async close(): Promise<void> {
+    await this.#running.close();
+    rmSync(this.#directory, { recursive: true, force: true });
+  }
+
+  async #apply(): Promise<void> {
+    const { examples, programs } = this.#options;
+    await promisify(execFile)(process.execPath, [
+      join(programs, "oleanderdeck.mjs"),
+      "apply",
+      join(examples, this.#deployment.name, "documents"),
+      "--node",
+      this.#hosts[0]!.controlAddress,
+      "--token",
+      this.#token,
+    ]);
+  }
+
+  async #bringAboutFaults(): Promise<boolean> {
+    const { killedHost, slowService, stoppedHost } = this.#deployment.demo;
+    const slowed = this.#hosts.filter(({ service }) => service === slowService);
+    const setAll = (factor: number) =>
+      Promise.all(
+        slowed.map(({ backendAddress }) =>
+          setSlowFactor(backendAddress, factor)
+        ),
+      );
+    const startedAt = Date.now();
+    const until = (index: number) =>
+      sleep(
+        phaseSpan(this.#description, index).startMs - (Date.now() - startedAt),
+      );
+    await until(PHASES.slow);
+    await setAll(SLOW_FACTOR);
+    await until(PHASES.afterSlow);
+    await setAll(1);
+    await until(PHASES.killed);
+    this.#running.kill(killedHost);
+    await until(PHASES.stopped);
+    this.#running.restart(killedHost);
+    return this.#running.stop(stoppedHost);
+  }
+}
--- a/packages/demo/deployment.ts
+++ b/packages/demo/deployment.ts
@@ -33,6 +33,11 @@
   name: z.string(),
   region: z.string(),
   platformAddress: z.string(),
+  demo: z.strictObject({
+    slowService: z.string(),
+    killedHost: z.string(),
+    stoppedHost: z.string(),
+  }),
   services: z.array(serviceSchema).min(1),
 });
 
--- a/packages/testing/backend_stand_in.ts
+++ b/packages/testing/backend_stand_in.ts
@@ -27,7 +27,7 @@
 import { ExecutionRecord } from "./execution_record.ts";
 
 /** SHA-256 of a whole body in hexadecimal, sent and checked by both sides. */
-export const BODY_HASH_FIELD = "stand-in-body-sha256";
+export const BODY_HASH_FIELD = "x-body-sha256";
 
 /** Prefix of the control endpoints of a backend stand-in. */
 export const STAND_IN_PREFIX = "/stand-in/v1/";
@@ -208,7 +208,10 @@
       counts.corruptBodies++;
       return refuse(request, response, 422);
     }
-    this.record.start(String(request.headers[REQUEST_FIELD] ?? ""));
+    this.record.start(
+      String(request.headers[REQUEST_FIELD] ?? ""),
+      request.method!,
+    );
     const failed = await this.#callAll(script.calls, request, {
       deadline,
       signal: gone.signal,
@@ -334,6 +337,7 @@
       lowestFence: this.#lowestFence,
       counts: this.record.counts,
       duplicates: this.record.duplicates(),
+      duplicatePosts: this.record.duplicatePosts(),
     };
   }
 }
--- a/packages/testing/execution_record.ts
+++ b/packages/testing/execution_record.ts
@@ -21,6 +21,7 @@
 /** Executions of one backend stand-in by request identity. */
 export class ExecutionRecord {
   readonly #byIdentity = new Map<string, number>();
+  readonly #posts = new Set<string>();
 
   /** Totals since the start. */
   readonly counts: ExecutionCounts = {
@@ -35,8 +36,9 @@
   };
 
   /** Counts the start of a request. */
-  start(identity: string): void {
+  start(identity: string, method: string): void {
     this.counts.started++;
+    if (method === "POST") this.#posts.add(identity);
     this.#byIdentity.set(identity, this.of(identity) + 1);
   }
 
@@ -52,6 +54,14 @@
     );
   }
 
+  /** Requests of the method POST that were begun more than once. */
+  duplicatePosts(): Readonly<Record<string, number>> {
+    return Object.fromEntries(
+      Object.entries(this.duplicates())
+        .filter(([identity]) => this.#posts.has(identity)),
+    );
+  }
+
   /** All request identities with their number of executions. */
   identities(): Readonly<Record<string, number>> {
     return Object.fromEntries(this.#byIdentity);
