Add the load generator and oleanderdeck load

Change: a load description in JSON with comments gives calls, rates, phases, retries and permits. runLoad sends an open loop by undici dispatch, classifies each answer by framing and by x-body-sha256, counts calls and attempts by outcome, error kind and run, and reports latencies, lateness of the generator and timelines of calls sent and whole answers. Runs are bounded in calls, time and calls in flight; other than loopback addresses need an explicit field.

--- a/packages/command_line/command_line.ts
+++ b/packages/command_line/command_line.ts
@@ -13,6 +13,7 @@
 import { formatError } from "./command_output.ts";
 import * as changes from "./change_commands.ts";
 import { EXIT_CODE_HELP, EXIT_CODES, type ExitCode } from "./exit_code.ts";
+import { load } from "./load_command.ts";
 import * as reads from "./read_commands.ts";
 import * as system from "./system_commands.ts";
 
@@ -111,10 +112,21 @@
     .action((name: string) => system.rollout(context(), name));
 }
 
+function addLoadCommand(cli: CommandLine, context: () => CommandContext): void {
+  cli.command("load <file>", "Send the calls of a load description to nodes")
+    .option("--report <path>", "File for the report in JSON")
+    .option("--quiet", "Write no progress lines")
+    .example((name) => `  $ ${name} load mix.jsonc --report report.json`)
+    .action((file: string, options: ParsedOptions) =>
+      load(context(), file, options.quiet === true)
+    );
+}
+
 function buildCommandLine(context: () => CommandContext): CommandLine {
   const cli = cac("oleanderdeck");
   addDocumentCommands(cli, context);
   addSystemCommands(cli, context);
+  addLoadCommand(cli, context);
   cli.option(
     "--node <ip:port>",
     `Control address of a node (default: ${DEFAULT_NODE})`,
--- a/packages/command_line/command_line_test.ts
+++ b/packages/command_line/command_line_test.ts
@@ -96,7 +96,15 @@
 // Guards against help texts that do not name a command or option.
 test("help is as recorded", async () => {
   const commands = ["apply", "validate", "diff", "get", "list", "delete"]
-    .concat("change", "drain", "undrain", "status", "explain", "rollout");
+    .concat(
+      "change",
+      "drain",
+      "undrain",
+      "status",
+      "explain",
+      "rollout",
+      "load",
+    );
   const recorded = await session([
     "--help",
     ...commands.map((command) => `${command} --help`),
--- /dev/null
+++ b/packages/command_line/load_command.ts
@@ -0,0 +1,70 @@
+import { readFileSync, writeFileSync } from "node:fs";
+import {
+  formatProgress,
+  formatReport,
+  type LoadDescription,
+  loadDescriptionSchema,
+  type LoadReport,
+  runLoad,
+} from "@oleanderdeck/load";
+import { formatFault, readJsonc } from "@oleanderdeck/settings";
+import { type CommandContext, optionText } from "./command_context.ts";
+import { CommandError, usageError } from "./command_error.ts";
+import { writeResult } from "./command_output.ts";
+import { EXIT_CODES, type ExitCode } from "./exit_code.ts";
+
+function readDescription(path: string): LoadDescription {
+  let text: string;
+  try {
+    // 0 is the descriptor of the standard input.
+    text = readFileSync(path === "-" ? 0 : path, "utf8");
+  } catch (error) {
+    throw usageError(`A file cannot be read: ${(error as Error).message}`);
+  }
+  return readJsonc(text, loadDescriptionSchema).caseOf<LoadDescription>({
+    Left: (faults) => {
+      throw new CommandError("The load description is not valid", {
+        exitCode: EXIT_CODES.usage,
+        kind: "invalid_description",
+        details: faults.map((fault) => formatFault(path, fault)),
+        fields: { faults },
+      });
+    },
+    Right: (description) => description,
+  });
+}
+
+function wasNeverConnected(report: LoadReport): boolean {
+  const { outcomes } = report.totals.calls;
+  return report.totals.sent > 0 &&
+    outcomes.not_connected === report.totals.sent;
+}
+
+/**
+ * Runs the calls of a load description. Progress goes to the standard error
+ * stream and the report to the standard output.
+ */
+export async function load(
+  context: CommandContext,
+  path: string,
+  isQuiet: boolean,
+): Promise<ExitCode> {
+  const { argv, environment } = context;
+  const reportPath = optionText(argv, "--report");
+  const description = readDescription(path);
+  const report = await runLoad(description, {
+    signal: environment.interruption?.(),
+    onProgress: isQuiet
+      ? undefined
+      : (progress) => environment.writeError(`${formatProgress(progress)}\n`),
+  });
+  if (reportPath !== undefined) {
+    writeFileSync(reportPath, `${JSON.stringify(report, null, 2)}\n`);
+  }
+  writeResult(context, { json: report, lines: formatReport(report) });
+  if (!wasNeverConnected(report)) return EXIT_CODES.ok;
+  throw new CommandError("No call reached a node", {
+    exitCode: EXIT_CODES.unreachable,
+    kind: "unreachable",
+  });
+}
--- a/packages/load/mod.ts
+++ b/packages/load/mod.ts
@@ -1,7 +1,23 @@
 /**
- * Load generator with a latency histogram and a JSON report.
+ * Load generator: an open loop of calls with phases, retries of callers and
+ * permits, which checks that every answer is complete and reports latencies and
+ * counts by outcome.
  *
  * @module
  */
 
-export {};
+export * from "./attempt.ts";
+export {
+  LatencyHistogram,
+  type LatencySummary,
+  type OutcomeSummary,
+} from "./load_counts.ts";
+export {
+  callName,
+  type LoadCall,
+  type LoadDescription,
+  loadDescriptionSchema,
+  type LoadPhase,
+} from "./load_description.ts";
+export * from "./load_report.ts";
+export * from "./run_load.ts";
