--- a/packages/demo/demo_main.ts
+++ b/packages/demo/demo_main.ts
@@ -1,5 +1,7 @@
+import { writeFileSync } from "node:fs";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { cac } from "cac";
 import { Demonstration } from "./demonstration.ts";
 import { judge } from "./judgement.ts";
 
@@ -7,26 +9,51 @@
 const examples = join(programs, "..", "examples");
 const write = (line: string) => void process.stdout.write(`${line}\n`);
 
-async function demonstrate(name: string): Promise<boolean> {
+const program = cac("demo");
+program.command(
+  "[...deployments]",
+  "Runs lunchtable and bandcraft, or the deployments that are named",
+)
+  .option("--reports <directory>", "Writes each load report there as JSON")
+  .action(run);
+program.help();
+program.parse();
+
+async function demonstrate(
+  name: string,
+  reports: string | undefined,
+): Promise<boolean> {
   const demonstration = new Demonstration(name, {
     programs,
     examples,
     report: write,
   });
   try {
-    const { broken, lines } = judge(await demonstration.run());
+    const result = await demonstration.run();
+    const { broken, lines } = judge(result);
     ["", ...lines, ""].forEach(write);
+    if (reports !== undefined) {
+      writeFileSync(
+        join(reports, `${name}.json`),
+        JSON.stringify(result.load, undefined, 2) + "\n",
+      );
+    }
     return broken.length === 0;
   } finally {
     await demonstration.close();
   }
 }
 
-process.once("SIGINT", () => process.exit(130));
-process.once("SIGTERM", () => process.exit(143));
-
-const results: boolean[] = [];
-for (const name of ["lunchtable", "bandcraft"]) {
-  results.push(await demonstrate(name));
+async function run(
+  names: readonly string[],
+  options: { readonly reports?: string },
+): Promise<void> {
+  process.once("SIGINT", () => process.exit(130));
+  process.once("SIGTERM", () => process.exit(143));
+  const deployments = names.length > 0 ? names : ["lunchtable", "bandcraft"];
+  const results: boolean[] = [];
+  for (const name of deployments) {
+    results.push(await demonstrate(name, options.reports));
+  }
+  process.exitCode = results.every(Boolean) ? 0 : 1;
 }
-process.exitCode = results.every(Boolean) ? 0 : 1;
