--- a/packages/calls/call_edge.ts
+++ b/packages/calls/call_edge.ts
@@ -143,6 +143,17 @@
     await this.#parts.pools.close();
   }
 
+  /** Ends at once; calls in flight are cut off. */
+  async abort(): Promise<void> {
+    this.drain();
+    const closed = new Promise<void>((resolve) =>
+      this.#server.close(() => resolve())
+    );
+    this.#server.closeAllConnections();
+    await closed;
+    await this.#parts.pools.close();
+  }
+
   #accept(request: IncomingMessage, response: ServerResponse): void {
     if (request.url!.startsWith(CONTROL_PREFIX)) {
       this.#controlCalls++;
--- a/packages/daemon/node.ts
+++ b/packages/daemon/node.ts
@@ -19,6 +19,7 @@
 } from "@oleanderdeck/membership";
 import { EventLog, Metrics } from "@oleanderdeck/observability";
 import { operatorRoutes } from "@oleanderdeck/operator";
+import { type Member, MemberState } from "@oleanderdeck/protocol";
 import {
   AllowanceLedger,
   ChainRetryPolicy,
@@ -238,6 +239,32 @@
     this.#log.write("info", "node_stopped", { node: this.#settings.nodeId });
   }
 
+  /** Live members as this node knows them, itself included. */
+  members(): readonly Member[] {
+    return this.#membership.members().filter(({ state }) =>
+      state === MemberState.ALIVE || state === MemberState.SUSPECT
+    );
+  }
+
+  /**
+   * Ends at once without a word to anybody, as when the process is killed.
+   * Calls in flight are cut off.
+   */
+  async abandon(): Promise<void> {
+    clearInterval(this.#gauges);
+    this.#registration.close();
+    await Promise.all([
+      this.#edge.abort(),
+      this.#admission.close(),
+      this.#membership.close(),
+      this.#configuration.close(),
+      this.#control.close(),
+    ]);
+    this.#clients.close();
+    await this.#store.close();
+    await this.#metrics.close();
+  }
+
   // Requests that run on the own worker may make further calls through this
   // node, so the call port stays open until they have ended.
   async #waitForWorker(): Promise<void> {
--- /dev/null
+++ b/packages/daemon/node_test.ts
@@ -0,0 +1,179 @@
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { Code, ConnectError } from "@connectrpc/connect";
+import { TestFleet } from "./_test_fleet.ts";
+
+let fleet: TestFleet;
+
+beforeEach(async () => {
+  fleet = new TestFleet("127.51");
+  await fleet.start([
+    {
+      service: "bookings",
+      requests: [{
+        method: "*",
+        path: "*",
+        serviceTime: { distribution: "constant", milliseconds: 30 },
+        calls: [{ service: "menus", path: "/today" }],
+      }],
+    },
+    {
+      service: "menus",
+      requests: [{
+        method: "*",
+        path: "*",
+        calls: [{ service: "members", path: "/names" }],
+      }],
+    },
+    { service: "members" },
+    {
+      service: "menus",
+      requests: [{
+        method: "*",
+        path: "*",
+        calls: [{ service: "members", path: "/names" }],
+      }],
+    },
+  ]);
+});
+
+afterEach(() => fleet.close());
+
+// Guards against a path that works only on one host.
+test("a call three deep answers whole at every node", async () => {
+  for (const host of fleet.hosts) {
+    const answer = await fleet.call(host, "/bookings/orders", {
+      method: "POST",
+      body: "order",
+    });
+    expect(answer.status).toBe(200);
+    expect(answer.headers["oleanderdeck-run"]).toBe("yes");
+  }
+  expect(fleet.hosts[2]!.backend.record.counts.finished).toBe(4);
+});
+
+// Guards against a second run when the answer was lost and another node is
+// asked.
+test("a permit runs once through two nodes", async () => {
+  const [first, second] = [fleet.hosts[0]!, fleet.hosts[2]!];
+  const permit = await fleet.permit(first);
+  const options = {
+    method: "POST" as const,
+    headers: { "oleanderdeck-request": permit },
+    body: "order",
+  };
+  const answers = await Promise.all([
+    fleet.call(first, "/bookings/orders", options),
+    fleet.call(second, "/bookings/orders", options),
+    fleet.call(second, "/bookings/orders", options),
+  ]);
+  expect(answers.map(({ status }) => status)).toEqual([200, 200, 200]);
+  expect(fleet.hosts[0]!.backend.record.of(permit)).toBe(1);
+});
+
+// Guards against a restarted issuer that takes an old permit for a new one.
+test("a permit of a replaced node never runs", async () => {
+  const issuer = fleet.hosts[3]!;
+  const permit = await fleet.permit(issuer);
+  await fleet.replaceNode(issuer);
+  await fleet.waitUntil(() => fleet.isReady(issuer));
+  const options = {
+    method: "POST" as const,
+    headers: { "oleanderdeck-request": permit },
+    body: "order",
+  };
+  for (const host of [issuer, fleet.hosts[0]!]) {
+    const answer = await fleet.call(host, "/bookings/orders", options);
+    expect(answer.headers["oleanderdeck-error"]).toBe("outcome_unknown");
+    expect(answer.headers["oleanderdeck-run"]).toBe("unknown");
+  }
+  expect(fleet.hosts[0]!.backend.record.of(permit)).toBe(0);
+});
+
+// Guards against a stop that cuts off calls in flight or makes callers fail
+// with lost connections.
+test("a stopping node cuts off no call", async () => {
+  const stopped = fleet.hosts[1]!;
+  const calls = Array.from(
+    { length: 40 },
+    () =>
+      fleet.call(stopped, "/bookings/orders", {
+        method: "POST",
+        body: "order",
+      }),
+  );
+  await new Promise((resolve) => setTimeout(resolve, 10));
+  await stopped.backend.drain();
+  const [answers] = await Promise.all([
+    Promise.all(calls),
+    stopped.node.close(),
+  ]);
+  const ends = answers.map(({ status, headers }) =>
+    status === 200 ? "whole" : `not run: ${headers["oleanderdeck-run"]}`
+  );
+  const unexpected = ends.filter((end) =>
+    end !== "whole" && end !== "not run: no"
+  );
+  expect(unexpected).toEqual([]);
+  expect(ends.filter((end) => end === "whole").length).toBeGreaterThan(0);
+}, 20_000);
+
+// Guards against work for a worker that leaves when another node is asked to
+// drain it.
+test("a drained worker gets no new work after 3 s", async () => {
+  const drained = fleet.hosts[3]!;
+  await fleet.operator(fleet.hosts[0]!).drain({
+    workerAddress: `${drained.ip}:8080`,
+  });
+  await new Promise((resolve) => setTimeout(resolve, 3000));
+  const before = drained.backend.record.counts.started;
+  await Promise.all(
+    Array.from({ length: 20 }, () => fleet.call(fleet.hosts[2]!, "/menus/a")),
+  );
+  expect(drained.backend.record.counts.started).toBe(before);
+});
+
+// Guards against a second operator who overwrites a change unseen.
+test("racing operators get a conflict", async () => {
+  const stored = await fleet.operator(fleet.hosts[0]!).get({
+    name: "policy/menus",
+  });
+  const change = (host: number, retries: number) =>
+    fleet.operator(fleet.hosts[host]!).apply({
+      name: "policy/menus",
+      content: JSON.stringify({ service: "menus", retries }),
+      expectedVersion: stored.document!.version,
+      changeId: `change-${host}`,
+    });
+  const results = await Promise.allSettled([change(0, 1), change(1, 2)]);
+  const refused = results.filter((result) => result.status === "rejected");
+  expect(refused.length).toBe(1);
+  expect(ConnectError.from(refused[0]!.reason).code).toBe(Code.Aborted);
+});
+
+// Guards against a change that stays on the node that made it, and against a
+// node that falls back to an older version.
+test("a change is in force everywhere within 8 s", async () => {
+  const { version } = await fleet.apply("policy/extra", {
+    service: "extra",
+    retries: 1,
+  });
+  await fleet.waitUntil(async () => {
+    const { counts } = await fleet.operator(fleet.hosts[3]!).rollout({
+      name: "policy/extra",
+    });
+    return counts.some((count) =>
+      count.version === version && count.nodes === 4
+    );
+  }, 8000);
+}, 20_000);
+
+// Guards against a fleet that needs the store to run or to take in a node.
+test("a node starts from its peers with the store down", async () => {
+  fleet.store.setFaults({ outage: "refuse" });
+  const added = await fleet.addHost({ service: "members" });
+  await fleet.waitUntil(() => fleet.isReady(added));
+  const answer = await fleet.call(added, "/menus/today");
+  expect(answer.status).toBe(200);
+  const change = fleet.apply("policy/other", { service: "other" });
+  await expect(change).rejects.toThrow(ConnectError);
+}, 20_000);
