--- a/packages/membership/_anti_entropy.ts
+++ b/packages/membership/_anti_entropy.ts
@@ -35,10 +35,10 @@
 /** Records that wait for their page; later ones are left to the next exchange. */
 const MAXIMUM_WAITING_RECORDS = 10_000;
 
-// One page per second on average. The burst lets a peer send 150 full records
+// Two pages in three seconds on average. The burst lets a peer send 150 full records
 // to a node that has just started.
 const PAGE_BUDGET: ByteBudgetOptions = {
-  bytesPerSecond: 1200,
+  bytesPerSecond: 800,
   burstBytes: 24_000,
 };
 
--- a/packages/membership/_disseminator.ts
+++ b/packages/membership/_disseminator.ts
@@ -5,7 +5,7 @@
 import { Latch } from "./_latch.ts";
 import type { MemberTable } from "./_member_table.ts";
 import type { PeerLink } from "./_peer_link.ts";
-import { UpdateQueue } from "./_update_queue.ts";
+import { UPDATE_FRAMING_BYTES, UpdateQueue } from "./_update_queue.ts";
 
 /** Time between two rounds of gossip while there is news. */
 const GOSSIP_INTERVAL_MS = 200;
@@ -15,11 +15,21 @@
 
 const SENDS_PER_DOUBLING = 3;
 
-// A change of one record costs a node of a fleet of 5,100 about 8 KB within 3 s,
+/** Updates in the queue from which on each one is sent fewer times. */
+const CROWDED_QUEUE = 16;
+
+const SENDS_PER_DOUBLING_CROWDED = 1;
+const EXTRA_SENDS_CROWDED = 2;
+
+// Anti-entropy takes over from here. Without the limit, an update of a start of
+// all nodes waits for minutes behind thousands of others that all know.
+const UPDATE_LIFETIME_MS = 30_000;
+
+// A change of one record costs a node of a fleet of 5,100 about 4 KB within 3 s,
 // which the burst covers; the rate keeps recoveries of thousands of records
 // within the control budget of 6 KB/s, sent and received together.
 const UPDATE_BUDGET: ByteBudgetOptions = {
-  bytesPerSecond: 1500,
+  bytesPerSecond: 1000,
   burstBytes: 15_000,
 };
 
@@ -57,10 +67,15 @@
 
   /** Sends a record to peers in the next rounds. */
   announce(record: Member): void {
-    this.#queue.put(record);
+    this.#queue.put(record, this.#options.clock.now());
     this.#news.open();
   }
 
+  /** Notes that a peer has sent a record, so that it knows it. */
+  noteReceived(record: Member): void {
+    this.#queue.noteReceived(record);
+  }
+
   /**
    * Takes updates for a datagram that is sent anyway.
    *
@@ -78,6 +93,7 @@
     const { clock } = this.#options;
     while (!signal.aborted) {
       if (this.#queue.size === 0) await this.#news.wait(signal);
+      this.#queue.dropOlderThan(clock.now() - UPDATE_LIFETIME_MS);
       if (!signal.aborted) this.#sendRound();
       await clock.sleep(GOSSIP_INTERVAL_MS, signal);
     }
@@ -100,11 +116,17 @@
   }
 
   #timesToSend(): number {
-    const members = this.#options.table.liveCount;
-    return Math.ceil(SENDS_PER_DOUBLING * Math.log2(members + 1));
+    const doublings = Math.log2(this.#options.table.liveCount + 1);
+    return this.#queue.size <= CROWDED_QUEUE
+      ? Math.ceil(SENDS_PER_DOUBLING * doublings)
+      : Math.ceil(SENDS_PER_DOUBLING_CROWDED * doublings) +
+        EXTRA_SENDS_CROWDED;
   }
 }
 
 function totalBytes(parts: readonly Uint8Array[]): number {
-  return parts.reduce((total, part) => total + part.length, 0);
+  return parts.reduce(
+    (total, part) => total + part.length + UPDATE_FRAMING_BYTES,
+    0,
+  );
 }
--- a/packages/membership/_prober.ts
+++ b/packages/membership/_prober.ts
@@ -30,6 +30,9 @@
 /** Relayed probes that a node has in progress at most. */
 const MAXIMUM_RELAYS = 64;
 
+// A reason given to abort() saves the cost of an error object with a stack.
+const ANSWERED = "answered";
+
 interface Waiter {
   /** Node that has to answer; any node if undefined. */
   readonly nodeId: string | undefined;
@@ -291,7 +294,7 @@
 
 function answer(waiter: Waiter): void {
   waiter.isAnswered = true;
-  waiter.ended.abort();
+  waiter.ended.abort(ANSWERED);
 }
 
 /** Options of {@linkcode Prober.ping}. */
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -323,6 +323,7 @@
       return this.#hearOfSelf(record);
     }
     if (this.#isDoubtful(record, origin.sender)) return;
+    if (origin.sender !== undefined) this.#disseminator.noteReceived(record);
     const nowMs = this.#context.clock.now();
     const holder = isClaim(record)
       ? undefined
--- a/packages/membership/mod.ts
+++ b/packages/membership/mod.ts
@@ -10,5 +10,7 @@
 export * from "./member_view.ts";
 export * from "./membership.ts";
 export * from "./memory_network.ts";
+export * from "./peer_clients.ts";
 export * from "./peer_keys.ts";
+export * from "./peer_signature.ts";
 export * from "./udp_transport.ts";
--- a/packages/membership/peer_keys.ts
+++ b/packages/membership/peer_keys.ts
@@ -1,4 +1,9 @@
-import { createHmac, timingSafeEqual } from "node:crypto";
+import {
+  createHmac,
+  createSecretKey,
+  type KeyObject,
+  timingSafeEqual,
+} from "node:crypto";
 
 /** Length of a signature in bytes. */
 export const SIGNATURE_BYTES = 16;
@@ -9,7 +14,7 @@
  * key last everywhere, then make it the first, then remove the old one.
  */
 export class PeerKeys {
-  readonly #keys: readonly string[];
+  readonly #keys: readonly KeyObject[];
 
   /**
    * @param keys Secrets from the settings, the signing key first.
@@ -17,7 +22,7 @@
    */
   constructor(keys: readonly string[]) {
     if (keys.length === 0) throw new RangeError("At least one key is needed");
-    this.#keys = keys;
+    this.#keys = keys.map((key) => createSecretKey(key, "utf8"));
   }
 
   /**
@@ -39,7 +44,7 @@
 }
 
 function signWith(
-  key: string,
+  key: KeyObject,
   purpose: string,
   bytes: Uint8Array,
 ): Uint8Array {
--- /dev/null
+++ b/packages/membership/peer_signature.ts
@@ -0,0 +1,106 @@
+import { createHash, randomBytes } from "node:crypto";
+import { toBinary } from "@bufbuild/protobuf";
+import {
+  Code,
+  ConnectError,
+  type Interceptor,
+  type UnaryRequest,
+} from "@connectrpc/connect";
+import { PEER_FIELD, PeerService } from "@oleanderdeck/protocol";
+import type { PeerKeys } from "./peer_keys.ts";
+
+const PURPOSE = "peer-rpc";
+const NONCE_BYTES = 16;
+const SIGNATURE_FIELD =
+  /^(?<caller>[^\s;]+);(?<nonce>[0-9a-f]{32});(?<signature>[0-9a-f]{32})$/;
+
+/** Nonces of each node that a server remembers. */
+const REMEMBERED_NONCES = 10_000;
+
+/** Options of {@linkcode signPeerCalls}. */
+export interface PeerSigningOptions {
+  readonly keys: PeerKeys;
+  /** Node that calls. */
+  readonly caller: string;
+  /** Node that is called. */
+  readonly audience: string;
+}
+
+/**
+ * Signs calls of the peer service in the `oleanderdeck-peer` field, as
+ * `<caller>;<nonce>;<signature>`. The signature covers the method, the caller,
+ * the called node, the nonce and the request message. It keeps processes without
+ * a key from calling, and keeps a call from being altered or repeated to another
+ * node. Nodes have no common clock, so there is no time in it: a call that is
+ * repeated to the same node is rejected only while the node remembers the nonce.
+ * This is harmless because each call of the peer service has the same effect
+ * when it is repeated. Neither the content nor the response is secret or signed.
+ */
+export function signPeerCalls(options: PeerSigningOptions): Interceptor {
+  const { audience, caller, keys } = options;
+  return (next) => (request) => {
+    if (request.stream) return next(request);
+    const nonce = randomBytes(NONCE_BYTES).toString("hex");
+    const content = signedContent(request, { caller, audience, nonce });
+    const signature = Buffer.from(keys.sign(PURPOSE, content)).toString("hex");
+    request.header.set(PEER_FIELD, `${caller};${nonce};${signature}`);
+    return next(request);
+  };
+}
+
+/** Options of {@linkcode verifyPeerCalls}. */
+export interface PeerVerificationOptions {
+  readonly keys: PeerKeys;
+  /** The node that serves the calls. */
+  readonly nodeId: string;
+}
+
+/**
+ * Rejects calls of the peer service that are not signed as by
+ * {@linkcode signPeerCalls} with the code `unauthenticated`. Calls of other
+ * services pass, so that one server can have them too.
+ */
+export function verifyPeerCalls(options: PeerVerificationOptions): Interceptor {
+  const { keys, nodeId: audience } = options;
+  const nonces = new Set<string>();
+  return (next) => (request) => {
+    if (request.service.typeName !== PeerService.typeName) return next(request);
+    const field = request.header.get(PEER_FIELD) ?? "";
+    const { caller, nonce, signature } = SIGNATURE_FIELD.exec(field)?.groups ??
+      {};
+    if (
+      request.stream || caller === undefined || nonce === undefined ||
+      signature === undefined ||
+      !keys.verify(
+        PURPOSE,
+        signedContent(request, { caller, audience, nonce }),
+        Buffer.from(signature, "hex"),
+      )
+    ) {
+      throw new ConnectError("The call is not signed", Code.Unauthenticated);
+    }
+    if (nonces.has(nonce)) {
+      throw new ConnectError("The call is repeated", Code.Unauthenticated);
+    }
+    nonces.add(nonce);
+    if (nonces.size > REMEMBERED_NONCES) {
+      nonces.delete(nonces.values().next().value!);
+    }
+    return next(request);
+  };
+}
+
+interface CallIdentity {
+  readonly caller: string;
+  readonly audience: string;
+  readonly nonce: string;
+}
+
+function signedContent(request: UnaryRequest, identity: CallIdentity): Buffer {
+  const message = toBinary(request.method.input, request.message);
+  const digest = createHash("sha256").update(message).digest("hex");
+  const { audience, caller, nonce } = identity;
+  return Buffer.from(
+    JSON.stringify([request.method.name, caller, audience, nonce, digest]),
+  );
+}
