--- a/packages/daemon/node.ts
+++ b/packages/daemon/node.ts
@@ -11,11 +11,11 @@
 } from "@oleanderdeck/configuration";
 import { PermitLedger } from "@oleanderdeck/idempotency";
 import {
-  authenticatePeers,
   Membership,
   PeerClients,
   PeerKeys,
   UdpTransport,
+  verifyPeerCalls,
 } from "@oleanderdeck/membership";
 import { EventLog, Metrics } from "@oleanderdeck/observability";
 import { operatorRoutes } from "@oleanderdeck/operator";
@@ -92,7 +92,8 @@
     });
     this.#clients = new PeerClients({
       keys,
-      timeoutMs: settings.timeouts.peerMs,
+      nodeId,
+      callTimeoutMs: settings.timeouts.peerMs,
     });
     this.#membership = new Membership({
       nodeId,
@@ -187,7 +188,7 @@
       membership: this.#membership,
       allowances,
       own: this.#own,
-      authentication: authenticatePeers(keys),
+      authentication: verifyPeerCalls({ keys, nodeId }),
     });
     this.#control = new ControlServer((router) => {
       operator(router);
--- a/packages/membership/peer_clients.ts
+++ b/packages/membership/peer_clients.ts
@@ -1,147 +1,107 @@
-import { randomBytes } from "node:crypto";
-import {
-  type DescMessage,
-  type DescMethod,
-  type Message,
-  toBinary,
-} from "@bufbuild/protobuf";
-import {
-  type Client,
-  Code,
-  ConnectError,
-  createClient,
-  type Interceptor,
-} from "@connectrpc/connect";
+import { type Client, createClient } from "@connectrpc/connect";
 import {
   createConnectTransport,
   Http2SessionManager,
 } from "@connectrpc/connect-node";
 import { type Member, PeerService } from "@oleanderdeck/protocol";
 import type { PeerKeys } from "./peer_keys.ts";
+import { signPeerCalls } from "./peer_signature.ts";
 
-/** Client of another node's peer service. */
+/** Client of the peer service of one node. */
 export type PeerClient = Client<typeof PeerService>;
 
-/** Field with the nonce and the signature of a peer call. */
-const SIGNATURE_FIELD = "oleanderdeck-peer-signature";
-
-const PURPOSE = "peer call";
-const NONCE_BYTES = 12;
-
-/** Time after which an unused session is closed, in milliseconds. */
-const IDLE_SESSION_MS = 15_000;
-
-/** Sessions held at most; the one opened first is closed for another. */
-const MAXIMUM_SESSIONS = 32;
-
 /** Options of {@linkcode PeerClients}. */
 export interface PeerClientsOptions {
   readonly keys: PeerKeys;
-  /** Time for one call, in milliseconds. */
-  readonly timeoutMs: number;
+  /** The node that calls. */
+  readonly nodeId: string;
+  /** Time after which an unused connection is closed, 30 s if absent. */
+  readonly idleTimeoutMs?: number;
+  /** Time limit of a call, 5 s if absent. */
+  readonly callTimeoutMs?: number;
 }
 
-interface OpenSession {
-  readonly manager: Http2SessionManager;
-  readonly client: PeerClient;
-}
+const IDLE_TIMEOUT_MS = 30_000;
+const CALL_TIMEOUT_MS = 5000;
 
-function signedBytes(
-  method: DescMethod,
-  message: Message,
-  nonce: string,
-): Uint8Array {
-  return Buffer.concat([
-    Buffer.from(`${method.parent.typeName}/${method.name}\0${nonce}\0`),
-    toBinary(method.input as DescMessage, message),
-  ]);
-}
+// The list of 5,100 members has 0.8 MB, and a document at most 1 MB.
+const MAXIMUM_RESPONSE_BYTES = 64 * 1024 * 1024;
 
-function signCalls(keys: PeerKeys): Interceptor {
-  return (next) => (request) => {
-    if (request.stream) return next(request);
-    const nonce = randomBytes(NONCE_BYTES).toString("base64url");
-    const bytes = signedBytes(request.method, request.message, nonce);
-    const signature = Buffer.from(keys.sign(PURPOSE, bytes));
-    request.header.set(
-      SIGNATURE_FIELD,
-      `${nonce}.${signature.toString("base64url")}`,
-    );
-    return next(request);
-  };
-}
+/** Clients that are kept; unused ones are dropped beyond it, oldest first. */
+const MAXIMUM_CLIENTS = 64;
 
-/**
- * Makes an interceptor for the peer service that refuses calls which no node of
- * the fleet signed. The signature covers the method and the message, so that a
- * message can not be changed or used for another method. A recorded call can be
- * sent again; therefore every method of the peer service is idempotent.
- *
- * @param keys Keys of the fleet.
- */
-export function authenticatePeers(keys: PeerKeys): Interceptor {
-  return (next) => (request) => {
-    const [nonce = "", signature = ""] =
-      (request.header.get(SIGNATURE_FIELD) ?? "").split(".");
-    const valid = !request.stream && keys.verify(
-      PURPOSE,
-      signedBytes(request.method, request.message, nonce),
-      Buffer.from(signature, "base64url"),
-    );
-    if (!valid) {
-      throw new ConnectError(
-        "The call is not signed by a node of the fleet",
-        Code.Unauthenticated,
-      );
-    }
-    return next(request);
-  };
+interface KeptClient {
+  readonly client: PeerClient;
+  readonly sessions: Http2SessionManager;
 }
 
-/** Clients of other nodes, with at most one session for each node. */
+/** Clients of the peer service by member, with one HTTP/2 connection each. */
 export class PeerClients {
   readonly #options: PeerClientsOptions;
-  readonly #sessions = new Map<string, OpenSession>();
+  /** By control address and node id, in the order of the latest use. */
+  readonly #kept = new Map<string, KeptClient>();
 
-  /** @param options Keys and timeout. */
+  /** @param options Keys that sign the calls, and time limits. */
   constructor(options: PeerClientsOptions) {
     this.#options = options;
   }
 
-  /** Client of a member's peer service. */
-  client({ controlAddress }: Pick<Member, "controlAddress">): PeerClient {
-    const known = this.#sessions.get(controlAddress);
-    if (known !== undefined) return known.client;
-    const opened = this.#open(controlAddress);
-    this.#sessions.set(controlAddress, opened);
-    if (this.#sessions.size > MAXIMUM_SESSIONS) this.#closeOldest();
-    return opened.client;
+  /** Number of connections that are open or being opened. */
+  get connections(): number {
+    return [...this.#kept.values()].filter(({ sessions }) =>
+      !isUnused(sessions)
+    )
+      .length;
+  }
+
+  /**
+   * Client for the control address of a member. It connects with the first call
+   * and again after a fault; errors of calls are `ConnectError`.
+   */
+  client(member: Member): PeerClient {
+    const key = `${member.controlAddress} ${member.nodeId}`;
+    const kept = this.#kept.get(key) ?? this.#create(member);
+    this.#kept.delete(key);
+    this.#kept.set(key, kept);
+    this.#dropUnused();
+    return kept.client;
   }
 
-  /** Ends all sessions and their calls. */
+  /** Ends all connections; calls in progress fail. */
   close(): void {
-    this.#sessions.forEach(({ manager }) => manager.abort());
-    this.#sessions.clear();
+    this.#kept.forEach(({ sessions }) => sessions.abort());
+    this.#kept.clear();
   }
 
-  #open(address: string): OpenSession {
-    const baseUrl = `http://${address}`;
-    const manager = new Http2SessionManager(baseUrl, {
-      idleConnectionTimeoutMs: IDLE_SESSION_MS,
+  #create(member: Member): KeptClient {
+    const { callTimeoutMs, idleTimeoutMs, keys, nodeId } = this.#options;
+    const baseUrl = `http://${member.controlAddress}`;
+    const sessions = new Http2SessionManager(baseUrl, {
+      idleConnectionTimeoutMs: idleTimeoutMs ?? IDLE_TIMEOUT_MS,
     });
     const transport = createConnectTransport({
       baseUrl,
       httpVersion: "2",
-      sessionManager: manager,
-      defaultTimeoutMs: this.#options.timeoutMs,
-      interceptors: [signCalls(this.#options.keys)],
+      sessionManager: sessions,
+      useBinaryFormat: true,
+      defaultTimeoutMs: callTimeoutMs ?? CALL_TIMEOUT_MS,
+      readMaxBytes: MAXIMUM_RESPONSE_BYTES,
+      interceptors: [
+        signPeerCalls({ keys, caller: nodeId, audience: member.nodeId }),
+      ],
     });
-    return { manager, client: createClient(PeerService, transport) };
+    return { client: createClient(PeerService, transport), sessions };
   }
 
-  #closeOldest(): void {
-    const [address, session] = this.#sessions.entries().next().value!;
-    this.#sessions.delete(address);
-    session.manager.abort();
+  #dropUnused(): void {
+    for (const [key, { sessions }] of this.#kept) {
+      if (this.#kept.size <= MAXIMUM_CLIENTS) return;
+      if (isUnused(sessions)) this.#kept.delete(key);
+    }
   }
 }
+
+function isUnused(sessions: Http2SessionManager): boolean {
+  const state = sessions.state();
+  return state === "closed" || state === "error";
+}
