--- a/packages/agreement/agreement_schema.ts
+++ b/packages/agreement/agreement_schema.ts
@@ -115,17 +115,30 @@
     : resolved;
 }
 
+/**
+ * Decoded text of each escape of an unreserved character, and every other
+ * escape in upper case. A table, because a hostile path may have thousands of
+ * escapes.
+ */
+const ESCAPES: ReadonlyMap<string, string> = new Map(
+  Array.from({ length: 256 }, (_, code) => {
+    const digits = code.toString(16).padStart(2, "0");
+    const character = String.fromCharCode(code);
+    const decoded = /[A-Za-z0-9._~-]/.test(character)
+      ? character
+      : `%${digits.toUpperCase()}`;
+    const [high, low] = [digits[0]!, digits[1]!];
+    return [high, high.toUpperCase()].flatMap((first) =>
+      [low, low.toUpperCase()].map((second) =>
+        [`%${first}${second}`, decoded] as const
+      )
+    );
+  }).flat(),
+);
+
 function resolvePath(path: string): string {
   const decoded = path
-    .replaceAll(
-      /%([0-9a-fA-F]{2})/g,
-      (escape, digits: string) => {
-        const character = String.fromCharCode(parseInt(digits, 16));
-        return /[A-Za-z0-9._~-]/.test(character)
-          ? character
-          : escape.toUpperCase();
-      },
-    )
+    .replaceAll(/%[0-9a-fA-F]{2}/g, (escape) => ESCAPES.get(escape)!)
     .replaceAll("\\", "/");
   const segments: string[] = [];
   decoded.split("/").forEach((segment) => {
--- a/packages/agreement/compiled_policy.ts
+++ b/packages/agreement/compiled_policy.ts
@@ -1,4 +1,4 @@
-import { createHash, timingSafeEqual } from "node:crypto";
+import { hash, timingSafeEqual } from "node:crypto";
 import { type Either, Left, Right } from "purify-ts";
 import { DeckError } from "@oleanderdeck/errors";
 import type { Fault } from "@oleanderdeck/settings";
@@ -62,10 +62,6 @@
   failureCost: 1,
 });
 
-function sha256(text: string): Buffer {
-  return createHash("sha256").update(text).digest();
-}
-
 function compileAgreement(agreement: Agreement): OrganisationEntry {
   return {
     policy: {
@@ -192,10 +188,12 @@
     }
     const entry = this.#organisations.get(credential.slice(0, colon));
     if (entry === undefined) return Left(new DeckError("no_agreement"));
-    const hash = sha256(credential.slice(colon + 1));
+    const digest = hash("sha256", credential.slice(colon + 1), "buffer");
     // Every hash is compared, so that the time tells nothing about which one
     // was equal.
-    const matches = entry.hashes.filter((each) => timingSafeEqual(each, hash));
+    const matches = entry.hashes.filter((each) =>
+      timingSafeEqual(each, digest)
+    );
     if (matches.length === 0) return Left(new DeckError("credential_refused"));
     // Only valid credentials are cached: wrong ones cannot displace them.
     this.#credentials.set(credential, entry.policy);
