--- a/packages/agreement/agreement_schema.ts
+++ b/packages/agreement/agreement_schema.ts
@@ -25,10 +25,14 @@
 );
 
 const credentialSchema = z.strictObject({
-  id: documentNameSchema.describe("Name of the credential, for its rotation"),
+  id: documentNameSchema.describe(
+    "Name of the credential; several are valid at once, for rotation",
+  ),
   sha256: z.string()
     .regex(/^[0-9a-f]{64}$/, "64 lower-case hexadecimal digits are expected")
-    .describe("SHA-256 of the secret"),
+    .describe(
+      "SHA-256 of the secret in hexadecimal digits; the secret must be random",
+    ),
 });
 
 const pathSchema = z.string()
@@ -45,22 +49,32 @@
 
 /** What an agreement says about one kind of request. */
 export const requestSchema = z.strictObject({
-  service: documentNameSchema,
+  service: documentNameSchema.describe("Service of the request"),
   method: z.enum(METHODS).default("*")
-    .describe("HTTP method; every method if absent"),
+    .describe("HTTP method; `*` is every method"),
   path: pathSchema.default("/")
-    .describe("Prefix of whole path segments after the service's segment"),
-  priority: z.enum(PRIORITIES).optional(),
+    .describe(
+      "Prefix of whole path segments after the service; the longest applies",
+    ),
+  priority: z.enum(PRIORITIES).optional()
+    .describe("Priority; of `defaults` if absent"),
   idempotent: z.boolean().optional()
     .describe("Whether a request may run more than once; by method if absent"),
-  permit: permitSchema.optional(),
-  failureCost: failureCostSchema.optional(),
+  permit: permitSchema.optional().describe(
+    "Whether a non-idempotent request must bring a permit; of `defaults` if " +
+      "absent",
+  ),
+  failureCost: failureCostSchema.optional()
+    .describe("Cost of a failure; of `defaults` if absent"),
 });
 
 const defaultsSchema = z.strictObject({
-  priority: z.enum(PRIORITIES).default("normal"),
-  permit: permitSchema.default("optional"),
-  failureCost: failureCostSchema.default(1),
+  priority: z.enum(PRIORITIES).default("normal")
+    .describe("Priority of requests without a rule"),
+  permit: permitSchema.default("optional")
+    .describe("Whether non-idempotent requests must bring a permit"),
+  failureCost: failureCostSchema.default(1)
+    .describe("Cost of a failure relative to an ordinary request"),
 });
 
 /** Rule as read from a document. */
@@ -73,13 +87,16 @@
 
 /** Schema of `agreement/<organisation>`. */
 export const agreementSchema = z.strictObject({
-  organisation: documentNameSchema,
+  organisation: documentNameSchema
+    .describe("Organisation; the document's name says the same"),
   weight: z.number().min(0.01).max(1000).default(1)
     .describe("Share under shortage relative to other organisations"),
   callsPerSecond: z.number().gt(0).max(10_000_000).optional()
     .describe("Root requests per second over all nodes; no limit if absent"),
-  credentials: z.array(credentialSchema).max(20).default([]),
-  requests: z.array(requestSchema).max(MAX_RULES).default([]),
+  credentials: z.array(credentialSchema).max(20).default([])
+    .describe("Credentials of the organisation's callers"),
+  requests: z.array(requestSchema).max(MAX_RULES).default([])
+    .describe("Rules, at most one for a service, method and path"),
   defaults: defaultsSchema.prefault({}),
 });
 
@@ -88,13 +105,20 @@
 
 /** Schema of `policy/<service>`. */
 export const servicePolicySchema = z.strictObject({
-  service: documentNameSchema,
-  defaultTimeoutMs: z.int().min(1).max(3_600_000).default(5000),
-  maximumTimeoutMs: z.int().min(1).max(3_600_000).default(60_000),
-  retries: z.int().min(0).max(20).default(3),
-  maximumBodyBytes: z.int().min(0).max(1_000_000_000).default(16_777_216),
-  queueLength: z.int().min(0).max(100_000).default(100),
-  progressTimeoutMs: z.int().min(10).max(600_000).default(10_000),
+  service: documentNameSchema
+    .describe("Service; the document's name says the same"),
+  defaultTimeoutMs: z.int().min(1).max(3_600_000).default(5000)
+    .describe("Time for a request that brings no timeout, in milliseconds"),
+  maximumTimeoutMs: z.int().min(1).max(3_600_000).default(60_000)
+    .describe("Longest time that a request may ask for, in milliseconds"),
+  retries: z.int().min(0).max(20).default(3)
+    .describe("Retry allowance of a root request over the whole call chain"),
+  maximumBodyBytes: z.int().min(0).max(1_000_000_000).default(16_777_216)
+    .describe("Greatest size of a request body in bytes"),
+  queueLength: z.int().min(0).max(100_000).default(100)
+    .describe("Greatest number of waiting requests per node"),
+  progressTimeoutMs: z.int().min(10).max(600_000).default(10_000)
+    .describe("Time without progress that ends a call, in milliseconds"),
 });
 
 /**
--- a/packages/agreement/document_test.ts
+++ b/packages/agreement/document_test.ts
@@ -1,5 +1,8 @@
+import fc from "fast-check";
 import { expect, test } from "vitest";
+import { normalisePath } from "./agreement_schema.ts";
 import { diffDocuments } from "./document_difference.ts";
+import { renderDocumentReference } from "./document_reference.ts";
 import {
   nameOfDocument,
   parseDocumentName,
@@ -112,3 +115,41 @@
   ]);
   expect(diffDocuments(a, a)).toEqual([]);
 });
+
+// Guards against a page of documents that lags behind the schema.
+test("docs/documents.md is current", async () => {
+  await expect(renderDocumentReference())
+    .toMatchFileSnapshot("../../docs/documents.md");
+});
+
+// Guards against a spelling of a path that avoids the rule of the path.
+test("every spelling of a path is normalised to the same text", () => {
+  const segment = fc.stringMatching(/^[a-z0-9~_-]{1,8}$/);
+  const escaped = (text: string, mask: number) =>
+    Array.from(
+      text,
+      (character, index) =>
+        mask >> index & 1
+          ? `%${character.charCodeAt(0).toString(16)}`
+          : character,
+    ).join("");
+  fc.assert(
+    fc.property(
+      fc.array(
+        fc.tuple(
+          segment,
+          fc.nat(255),
+          fc.constantFrom("/", "//", "/./", "/x/../", "/%2e/", "\\"),
+        ),
+        { minLength: 1, maxLength: 6 },
+      ),
+      (parts) => {
+        const plain = parts.map(([text]) => `/${text}`).join("");
+        const spelled = parts
+          .map(([text, mask, slash]) => slash + escaped(text, mask)).join("");
+        expect(normalisePath(`${spelled}/?a=/b`)).toBe(plain);
+      },
+    ),
+    { seed: 20_261_204 },
+  );
+});
--- a/packages/agreement/mod.ts
+++ b/packages/agreement/mod.ts
@@ -12,4 +12,5 @@
 export * from "./compiled_policy.ts";
 export * from "./document.ts";
 export * from "./document_difference.ts";
+export * from "./document_reference.ts";
 export { RuleTable } from "./rule_table.ts";
--- a/packages/command_line/command_context.ts
+++ b/packages/command_line/command_context.ts
@@ -79,7 +79,7 @@
   readonly output: OutputForm;
   /** Control address of the node. */
   readonly node: string;
-  /** Whether the node was named by an option or a variable. */
+  /** Whether the node was named by the option. */
   readonly isNodeNamed: boolean;
   readonly token: string | undefined;
   /** Time for one call, in milliseconds. */
@@ -130,9 +130,8 @@
   argv: readonly string[],
   environment: CommandEnvironment,
 ): CommandContext {
-  const named = optionText(argv, "--node") ??
-    environment.variables[NODE_VARIABLE];
-  const node = named ?? DEFAULT_NODE;
+  const named = optionText(argv, "--node");
+  const node = named ?? environment.variables[NODE_VARIABLE] ?? DEFAULT_NODE;
   if (parseAddress(node) === undefined) {
     throw usageError(
       `The node's address has the form ip:port or [ip]:port, not ${node}`,
--- a/packages/command_line/command_line.ts
+++ b/packages/command_line/command_line.ts
@@ -42,7 +42,10 @@
     .example((name) => `  $ ${name} apply agreements/ policies/menus.jsonc`)
     .example((name) => `  $ ${name} apply --expected-version 7 menus.jsonc`)
     .action((files: string[]) => changes.apply(context(), files));
-  cli.command("validate <...files>", "Check documents without storing them")
+  cli.command(
+    "validate <...files>",
+    "Check documents; with --node also by the node",
+  )
     .example((name) => `  $ ${name} validate agreements/`)
     .action((files: string[]) => reads.validate(context(), files));
   cli.command("diff <...files>", "Compare documents with the stored ones")
--- a/packages/command_line/read_commands.ts
+++ b/packages/command_line/read_commands.ts
@@ -20,7 +20,7 @@
   }[];
 }
 
-/** Checks documents here and, if a node is named, also by the node. */
+/** Checks documents here and, if an option names a node, also by the node. */
 export async function validate(
   context: CommandContext,
   paths: readonly string[],
--- a/packages/load/load_description.ts
+++ b/packages/load/load_description.ts
@@ -36,7 +36,9 @@
       "every failure, as an aggressive caller does",
   ),
   pauseMs: z.int().min(0).max(600_000).default(100)
-    .describe("Pause before a repetition when the answer names none"),
+    .describe(
+      "Pause before a repetition when the answer names none, in milliseconds",
+    ),
   sameIdentity: z.boolean().default(true)
     .describe("Whether a repetition carries the identity of the first attempt"),
 });
@@ -44,21 +46,25 @@
 const callSchema = z.strictObject({
   name: nameSchema.optional()
     .describe("Name in the report; service and method if absent"),
-  service: nameSchema,
-  method: z.enum(METHODS).default("GET"),
+  service: nameSchema.describe("Service that is called"),
+  method: z.enum(METHODS).default("GET").describe("HTTP method"),
   path: z.string().regex(
     /^\/\S*$/,
     "A path that begins with a slash is expected",
   )
-    .default("/"),
+    .default("/").describe("Path after the service"),
   credential: z.string().regex(
     /^[^:\s]+:\S+$/,
     "A credential of the form <organisation>:<secret> is expected",
-  ).optional().describe("The caller is anonymous if absent"),
-  callsPerSecond: z.number().gt(0).max(100_000),
-  bodyBytes: z.int().min(0).max(MAX_BODY_BYTES).default(0),
+  ).optional().describe(
+    "`<organisation>:<secret>`; the caller is anonymous if absent",
+  ),
+  callsPerSecond: z.number().gt(0).max(100_000)
+    .describe("Rate of calls, without repetitions"),
+  bodyBytes: z.int().min(0).max(MAX_BODY_BYTES).default(0)
+    .describe("Size of the request body"),
   timeoutMs: z.int().min(1).max(600_000).default(5000)
-    .describe("Time for one attempt"),
+    .describe("Time for one attempt, in milliseconds"),
   retry: retrySchema.prefault({}),
   permit: z.enum(["none", "first", "on_demand"]).default("none").describe(
     "`first` fetches a permit before the call, `on_demand` uses the one that " +
@@ -69,7 +75,8 @@
 });
 
 const phaseSchema = z.strictObject({
-  durationMs: z.int().min(1).max(MAX_DURATION_MS),
+  durationMs: z.int().min(1).max(MAX_DURATION_MS)
+    .describe("Length of the phase, in milliseconds"),
   multiplier: z.number().min(0).max(1000)
     .describe("Factor for the rates of the calls"),
   calls: z.array(nameSchema).optional()
@@ -102,16 +109,22 @@
   ).min(1).max(10_000).describe("Call addresses, used in turn"),
   allowNonLoopback: z.boolean().default(false)
     .describe("Whether nodes may have other than loopback addresses"),
-  seed: z.int().min(0).max(0x7fff_ffff).default(1),
-  arrivals: z.enum(["poisson", "even"]).default("poisson"),
-  connectionsPerNode: z.int().min(1).max(2000).default(100),
+  seed: z.int().min(0).max(0x7fff_ffff).default(1)
+    .describe("Seed of the times of arrival"),
+  arrivals: z.enum(["poisson", "even"]).default("poisson")
+    .describe("Random times as of independent callers, or equal gaps"),
+  connectionsPerNode: z.int().min(1).max(2000).default(100)
+    .describe("Greatest number of connections to one node"),
   maximumInFlight: z.int().min(1).max(50_000).default(10_000)
     .describe("Calls that exceed it are counted as not sent"),
-  phases: z.array(phaseSchema).min(1).max(1000),
+  phases: z.array(phaseSchema).min(1).max(1000)
+    .describe("Phases of the run, one after the other"),
   warmUpMs: z.int().min(0).max(MAX_DURATION_MS).default(0).describe(
-    "Calls that are due before this time are not part of the latencies",
+    "Calls that are due before this time are not part of the latencies, in " +
+      "milliseconds",
   ),
-  calls: z.array(callSchema).min(1).max(1000),
+  calls: z.array(callSchema).min(1).max(1000)
+    .describe("Kinds of calls, each with its own rate"),
 }).superRefine((description, context) => {
   const { calls, nodes, phases } = description;
   const report = (path: (string | number)[], message: string) =>
--- a/packages/load/mod.ts
+++ b/packages/load/mod.ts
@@ -19,5 +19,6 @@
   loadDescriptionSchema,
   type LoadPhase,
 } from "./load_description.ts";
+export { renderLoadReference } from "./load_reference.ts";
 export * from "./load_report.ts";
 export * from "./run_load.ts";
--- a/packages/load/run_load_test.ts
+++ b/packages/load/run_load_test.ts
@@ -9,6 +9,7 @@
   type LoadDescription,
   loadDescriptionSchema,
 } from "./load_description.ts";
+import { renderLoadReference } from "./load_reference.ts";
 import { runLoad } from "./run_load.ts";
 
 const servers: http.Server[] = [];
@@ -258,3 +259,9 @@
     "phases[0].calls[0]",
   ]);
 });
+
+// Guards against a page of load descriptions that lags behind the schema.
+test("docs/load.md is current", async () => {
+  await expect(renderLoadReference())
+    .toMatchFileSnapshot("../../docs/load.md");
+});
