Let callers of the load generator hear an answer at the deadline

Cause: a node answers deadline_exceeded at the deadline that the caller named; the generator gave up at the same instant and counted an accurate rejection as a timeout with an unknown run.

Change: an attempt waits 100 ms beyond the timeout that it names, and a run waits as much longer for its last calls. The log of operator calls shows at most 100 characters of a name. The argument - is not taken for the standard input, because cac drops it; /dev/stdin works.

--- a/packages/command_line/command_line.ts
+++ b/packages/command_line/command_line.ts
@@ -40,6 +40,7 @@
       "Identity of an earlier attempt, so that the change is made once",
     )
     .example((name) => `  $ ${name} apply agreements/ policies/menus.jsonc`)
+    .example((name) => `  $ generate_menus | ${name} apply /dev/stdin`)
     .example((name) => `  $ ${name} apply --expected-version 7 menus.jsonc`)
     .action((files: string[]) => changes.apply(context(), files));
   cli.command(
--- a/packages/command_line/document_files.ts
+++ b/packages/command_line/document_files.ts
@@ -35,7 +35,7 @@
 const MAX_FILES = 10_000;
 
 function listFiles(path: string): readonly string[] {
-  if (path === "-" || !statSync(path).isDirectory()) return [path];
+  if (!statSync(path).isDirectory()) return [path];
   return readdirSync(path, { recursive: true, withFileTypes: true })
     .filter((entry) =>
       entry.isFile() && EXTENSIONS.includes(extname(entry.name))
@@ -44,11 +44,6 @@
     .sort();
 }
 
-function readText(path: string): string {
-  // 0 is the descriptor of the standard input.
-  return readFileSync(path === "-" ? 0 : path, "utf8");
-}
-
 function checkText(source: string, text: string): CheckedFile {
   return readJsonc(text, anyDocumentSchema).caseOf<CheckedFile>({
     Left: (faults) => ({ source, faults, document: undefined }),
@@ -80,8 +75,7 @@
 /**
  * Reads documents in JSON with comments and checks all of them.
  *
- * @param paths Files, directories that are searched for `.json` and `.jsonc`,
- * or `-` for the standard input.
+ * @param paths Files, or directories that are searched for `.json` and `.jsonc`.
  * @throws {CommandError} If a file cannot be read or any document has a fault;
  * the error lists the faults of all files with line and column.
  */
@@ -119,7 +113,7 @@
     if (files.length > MAX_FILES) {
       throw usageError(`More than ${MAX_FILES} files are given`);
     }
-    return files.map((path) => checkText(path, readText(path)));
+    return files.map((path) => checkText(path, readFileSync(path, "utf8")));
   } catch (error) {
     if (error instanceof CommandError) throw error;
     throw usageError(`A file cannot be read: ${(error as Error).message}`);
--- a/packages/command_line/load_command.ts
+++ b/packages/command_line/load_command.ts
@@ -16,8 +16,7 @@
 function readDescription(path: string): LoadDescription {
   let text: string;
   try {
-    // 0 is the descriptor of the standard input.
-    text = readFileSync(path === "-" ? 0 : path, "utf8");
+    text = readFileSync(path, "utf8");
   } catch (error) {
     throw usageError(`A file cannot be read: ${(error as Error).message}`);
   }
--- a/packages/load/caller.ts
+++ b/packages/load/caller.ts
@@ -25,6 +25,12 @@
   readonly onPermit: (result: AttemptResult) => void;
 }
 
+/**
+ * Time beyond the timeout that a caller waits, because a node answers
+ * `deadline_exceeded` at the deadline and this answer takes time to arrive.
+ */
+export const DEADLINE_GRACE_MS = 100;
+
 /** Attempts that one answer with a permit may add to those of the description. */
 const PERMIT_REPETITIONS = 1;
 
@@ -135,7 +141,7 @@
         ? this.#headers
         : { ...this.#headers, [REQUEST_FIELD]: identity },
       body: this.#body,
-      timeoutMs,
+      timeoutMs: timeoutMs + DEADLINE_GRACE_MS,
       signal: this.#options.signal,
     });
   }
--- a/packages/load/run_load.ts
+++ b/packages/load/run_load.ts
@@ -5,7 +5,7 @@
 import { type Clock, SystemClock } from "@oleanderdeck/settings";
 import { arrivalTimes } from "./arrivals.ts";
 import { CallStatistics } from "./call_statistics.ts";
-import { Caller } from "./caller.ts";
+import { Caller, DEADLINE_GRACE_MS } from "./caller.ts";
 import { LatencyHistogram } from "./load_counts.ts";
 import {
   callName,
@@ -24,9 +24,9 @@
   /** Time between two states in milliseconds, 1000 if absent. */
   readonly progressMs?: number;
   /**
-   * Time to wait for answers after the last phase in milliseconds; the longest
-   * timeout of the calls if absent. Calls that have not ended then are
-   * cancelled.
+   * Time to wait for answers after the last phase in milliseconds; a little
+   * more than the longest timeout of the calls if absent. Calls that have not
+   * ended then are cancelled.
    */
   readonly drainMs?: number;
   /** Source of time; the system's if absent. */
@@ -278,7 +278,9 @@
     const longest = Math.max(
       ...description.calls.map(({ timeoutMs }) => timeoutMs),
     );
-    await run.drain(options.drainMs ?? longest, signal);
+    // The second grace lets a call that times out end by itself.
+    const drainMs = options.drainMs ?? longest + 2 * DEADLINE_GRACE_MS;
+    await run.drain(drainMs, signal);
     return run.report(startedAt, cancelled);
   } finally {
     clearInterval(timer);
--- a/packages/load/run_load_test.ts
+++ b/packages/load/run_load_test.ts
@@ -67,6 +67,16 @@
     }).end(),
   "/s/broken": (_, response) => response.writeHead(500).end(),
   "/s/silent": () => {},
+  "/s/late": (request, response) => {
+    // The node answers at the deadline that the caller named.
+    const timeoutMs = Number(request.headers["oleanderdeck-timeout-ms"]);
+    setTimeout(() => {
+      response.writeHead(504, {
+        "oleanderdeck-error": "deadline_exceeded",
+        "oleanderdeck-run": "no",
+      }).end();
+    }, timeoutMs);
+  },
   "/s/lost": (request) => void request.socket.destroy(),
 };
 
@@ -105,10 +115,12 @@
     shed: "rejected no",
     broken: "error_status unknown",
     silent: "timed_out unknown",
+    late: "rejected no",
     lost: "connection_lost unknown",
   });
   expect(report.totals.calls.rejected).toEqual({
     queue_full: report.calls.shed!.sent,
+    deadline_exceeded: report.calls.late!.sent,
   });
   const { sentTimeline, sent } = report.totals;
   expect(sentTimeline.reduce((sum, count) => sum + count, 0)).toBe(sent);
--- a/packages/operator/operator_routes.ts
+++ b/packages/operator/operator_routes.ts
@@ -5,7 +5,7 @@
   type Interceptor,
 } from "@connectrpc/connect";
 import { DeckError } from "@oleanderdeck/errors";
-import type { EventLog } from "@oleanderdeck/observability";
+import type { EventFields, EventLog } from "@oleanderdeck/observability";
 import { OperatorService } from "@oleanderdeck/protocol";
 import type { OperatorRole, OperatorToken } from "@oleanderdeck/settings";
 import { documentCalls, MAX_DOCUMENT_BYTES } from "./document_calls.ts";
@@ -38,9 +38,19 @@
   { description: "operator token" },
 );
 
-function subjectOf(message: object): string | undefined {
-  const fields = message as { name?: string; workerAddress?: string };
-  return fields.name ?? fields.workerAddress;
+/** Longest text from a request in a line of the log. */
+const LONGEST_LOGGED_TEXT = 100;
+
+function loggedFields(message: object): EventFields {
+  const { name, workerAddress, changeId } = message as {
+    readonly name?: string;
+    readonly workerAddress?: string;
+    readonly changeId?: string;
+  };
+  return {
+    subject: (name ?? workerAddress)?.slice(0, LONGEST_LOGGED_TEXT),
+    change_id: changeId?.slice(0, LONGEST_LOGGED_TEXT),
+  };
 }
 
 function toAnswer(error: unknown): ConnectError {
@@ -65,10 +75,7 @@
     const fields = {
       method,
       operator: token.name,
-      subject: request.stream ? undefined : subjectOf(request.message),
-      change_id: request.stream
-        ? undefined
-        : (request.message as { changeId?: string }).changeId,
+      ...(request.stream ? {} : loggedFields(request.message)),
     };
     try {
       const response = await next(request);
