--- a/packages/command_line/command_line.ts
+++ b/packages/command_line/command_line.ts
@@ -40,9 +40,13 @@
       "Identity of an earlier attempt, so that the change is made once",
     )
     .example((name) => `  $ ${name} apply agreements/ policies/menus.jsonc`)
+    .example((name) => `  $ generate_menus | ${name} apply /dev/stdin`)
     .example((name) => `  $ ${name} apply --expected-version 7 menus.jsonc`)
     .action((files: string[]) => changes.apply(context(), files));
-  cli.command("validate <...files>", "Check documents without storing them")
+  cli.command(
+    "validate <...files>",
+    "Check documents; with --node also by the node",
+  )
     .example((name) => `  $ ${name} validate agreements/`)
     .action((files: string[]) => reads.validate(context(), files));
   cli.command("diff <...files>", "Compare documents with the stored ones")
