Close peer clients without raising an uncaught exception

Cause: a node that stopped together with a node it had called ended with an uncaught exception. Http2SessionManager.abort() takes its error listener off a connection that is being destroyed after a GOAWAY frame. Ruled out: the server side, and an idle timeout during the close, by a script for each of them. Change: close() aborts connections with calls in progress only. Idle ones do not keep the process alive and end by their timeout.

--- a/packages/command_line/operator_connection.ts
+++ b/packages/command_line/operator_connection.ts
@@ -64,7 +64,9 @@
 
   /** Closes the connection. */
   close(): void {
-    this.#sessions.abort();
+    // An idle connection does not keep the process alive; aborting one while it
+    // ends after a GOAWAY frame raises an uncaught exception in connect-node.
+    if (this.#sessions.state() !== "idle") this.#sessions.abort();
   }
 }
 
--- a/packages/membership/peer_clients.ts
+++ b/packages/membership/peer_clients.ts
@@ -67,9 +67,16 @@
     return kept.client;
   }
 
-  /** Ends all connections; calls in progress fail. */
+  /**
+   * Fails calls in progress. Idle connections do not keep the process alive and
+   * end by their timeout: connect-node throws an uncaught exception when a
+   * connection is aborted while it ends after a GOAWAY frame, which is usual
+   * when nodes stop together.
+   */
   close(): void {
-    this.#kept.forEach(({ sessions }) => sessions.abort());
+    [...this.#kept.values()]
+      .filter(({ sessions }) => sessions.state() !== "idle")
+      .forEach(({ sessions }) => sessions.abort());
     this.#kept.clear();
   }
 
