--- /dev/null
+++ b/packages/observability/counter_reference.ts
@@ -0,0 +1,118 @@
+import {
+  ERROR_ANSWERS,
+  ERROR_KINDS,
+  type ErrorKind,
+} from "@oleanderdeck/errors";
+import { RETRY_REASONS, type RetryReason } from "./metrics.ts";
+
+const REFUSAL_ADVICE: Readonly<Record<ErrorKind, string>> = {
+  no_such_service:
+    "Callers use a service without a policy: apply one, or correct the callers",
+  no_agreement: "An organisation has no agreement: apply one",
+  credential_refused:
+    "Wrong or removed credential: compare the agreement with what the caller sends",
+  malformed_request:
+    "The caller breaks the protocol or sends a forged context: find it by its address in the log",
+  too_large:
+    "Bodies above `maximumBodyBytes`: raise it in the service policy if they are wanted",
+  not_ready:
+    "The node has no configuration yet: normal for seconds after a start; otherwise check store and seeds",
+  permit_required:
+    'Normal where the agreement says `permit: "required"`; the caller repeats with the permit of the answer',
+  permit_expired: "Callers keep permits longer than 10 minutes",
+  outcome_unknown:
+    "The node that issued a permit is gone: check the request by hand before it is made anew",
+  already_run:
+    "A repeated request whose answer was too large or too old to be kept: the work is done",
+  organisation_limit:
+    "The organisation is above `callsPerSecond`: talk to it, or raise the limit",
+  shed_low_priority:
+    "Overload: see `oleanderdeck status` for the service with a low threshold, add workers there",
+  queue_full:
+    "As `shed_low_priority`; a longer `queueLength` only helps short bursts",
+  deadline_too_short:
+    "Callers give less time than a request takes: compare timeouts with the service's durations",
+  deadline_exceeded:
+    "A backend server is slower than the deadline: see its own metrics, look for a slow deeper service",
+  downstream_pressure:
+    "A deeper service is overloaded: find the deepest service with a low threshold",
+  no_worker:
+    "No live worker serves: check whether backend servers are registered, drained or cut off",
+  worker_refused:
+    "The backend server sheds by itself: its `slots` are set higher than it can carry",
+  connection_refused: "The backend server does not listen: restart it",
+  connection_lost:
+    "The backend server or the link failed during a call: see the member states in the log",
+  answer_cut: "As `connection_lost`, after the answer began",
+  caller_cancelled:
+    "Callers give up; many of them point to answers that come late",
+  draining: "A node stops; callers use another one",
+  store_unavailable:
+    "The platform's store is down: the configuration stays in force, changes wait",
+  conflict: "Operators raced: read the stored version and apply again",
+  invalid_document: "A document has faults, listed in the answer",
+  not_found: "A name or an address does not exist",
+  not_authorised: "A token has no role for the operation, or is unknown",
+  internal:
+    "A fault of oleanderdeck: see the event with level error and report it",
+};
+
+const RETRY_ADVICE: Readonly<Record<RetryReason, string>> = {
+  worker_refused: "As the refusal of this kind",
+  connection_refused:
+    "A backend server is gone and its registration not yet lapsed",
+  connection_lost: "As the refusal of this kind",
+  answer_cut: "As the refusal of this kind",
+  no_progress:
+    "A connection was silent for `progressTimeoutMs`: something between the hosts lost track of it",
+  shed_by_serving_node:
+    "Forwarded calls are refused: callers are too many for their leases, add workers",
+};
+
+function row(cells: readonly string[]): string {
+  return `| ${cells.join(" | ")} |`;
+}
+
+function table(
+  heading: readonly string[],
+  rows: readonly (readonly string[])[],
+): readonly string[] {
+  return [row(heading), row(heading.map(() => "---")), ...rows.map(row)];
+}
+
+/** Renders the page with all refusal and retry counters in Markdown. */
+export function renderCounterReference(): string {
+  return [
+    "# Counters",
+    "",
+    "Generated from the tables of error kinds and retry reasons. Every counter has the tag `service`; all metrics have the tags `node` and `data_centre`.",
+    "",
+    "## Refusals",
+    "",
+    "Counter `oleanderdeck.refusal.<kind>`. A caller finds the kind in `oleanderdeck-error`; *run* tells whether the request was run, and *retry* after how many ms a repetition makes sense.",
+    "",
+    ...table(
+      ["kind", "status", "run", "retry", "what to do"],
+      ERROR_KINDS.map((kind) => {
+        const { retryable, retryAfterMs, run, status } = ERROR_ANSWERS[kind];
+        return [
+          `\`${kind}\``,
+          String(status),
+          run,
+          retryable ? String(retryAfterMs) : "no",
+          REFUSAL_ADVICE[kind],
+        ];
+      }),
+    ),
+    "",
+    "## Retries",
+    "",
+    "Counter `oleanderdeck.retry.<reason>`.",
+    "",
+    ...table(
+      ["reason", "what to do"],
+      RETRY_REASONS.map((reason) => [`\`${reason}\``, RETRY_ADVICE[reason]]),
+    ),
+    "",
+  ].join("\n");
+}
--- a/packages/observability/mod.ts
+++ b/packages/observability/mod.ts
@@ -5,5 +5,6 @@
  * @module
  */
 
+export * from "./counter_reference.ts";
 export * from "./event_log.ts";
 export * from "./metrics.ts";
