--- a/packages/observability/counter_reference.ts
+++ b/packages/observability/counter_reference.ts
@@ -89,7 +89,7 @@
     "",
     "## Refusals",
     "",
-    "Counter `oleanderdeck.refusal.<kind>`. A caller finds the kind in `oleanderdeck-error`; *run* tells whether the request was run, and *retry* after how many ms a repetition makes sense.",
+    "Counter `oleanderdeck.refusal.<kind>`. A caller finds the kind in `oleanderdeck-error`; _run_ tells whether the request was run, and _retry_ after how many ms a repetition makes sense.",
     "",
     ...table(
       ["kind", "status", "run", "retry", "what to do"],
