Pull whole lists on a start and measure the control cost at full size

With datagrams alone, 200 members started at once did not know each other after 32 s, and their updates filled the budget for minutes.

node dist/control.mjs runs 10, 50 and 200 members in processes of 10, and one member in a stand-in fleet of 5,100 sockets, all over loopback.

--- a/bench/control_main.ts
+++ b/bench/control_main.ts
@@ -13,7 +13,9 @@
 
 const FLEET_SIZES = [10, 50, 200];
 const FULL_SIZE = 5100;
-const MAXIMUM_PROCESSES = 4;
+// The same number of members in each process, so that the fixed cost of a process
+// has the same share in each row.
+const MEMBERS_PER_PROCESS = 10;
 const QUIET_MS = 10_000;
 const CHANGING_MS = 8000;
 const CHANGES_PER_SECOND = 1;
@@ -136,17 +138,17 @@
 }
 
 async function measureFleet(members: number): Promise<[Cost, Cost]> {
-  const count = Math.min(MAXIMUM_PROCESSES, Math.ceil(members / 10));
+  const count = members / MEMBERS_PER_PROCESS;
   const children = Array.from({ length: count }, () => new Child());
-  const share = Math.ceil(members / count);
   const seeds: string[] = [];
   for (const [index, child] of children.entries()) {
-    const first = index * share;
+    const first = index * MEMBERS_PER_PROCESS;
     const addresses = await child.run<string[]>({
       kind: "open",
       first,
-      count: Math.min(share, members - first),
+      count: MEMBERS_PER_PROCESS,
       seeds: [...seeds],
+      pulls: true,
     });
     seeds.push(...addresses.slice(0, 3));
     seeds.splice(3);
@@ -176,6 +178,7 @@
     first: FULL_SIZE,
     count: 1,
     seeds: [],
+    pulls: false,
   });
   await member.run({ kind: "records", ports });
   const exchange = (updatesPerSecond: number) =>
@@ -243,9 +246,17 @@
   return meanY + covariance / variance * (at - meanX);
 }
 
+// A falling line, as small fleets have a larger share of seed contacts, says
+// nothing about a large one; then the greatest measured value counts.
 function lineAt(costs: readonly (readonly [number, Cost])[]): Cost {
   const at = (figure: (cost: Cost) => number) =>
-    extrapolate(costs.map(([size, cost]) => [size, figure(cost)]), FULL_SIZE);
+    Math.max(
+      extrapolate(
+        costs.map(([size, cost]) => [size, figure(cost)]),
+        FULL_SIZE,
+      ),
+      ...costs.map(([, cost]) => figure(cost)),
+    );
   return {
     bytesSent: at((cost) => cost.bytesSent),
     bytesReceived: at((cost) => cost.bytesReceived),
@@ -278,6 +289,16 @@
   printHeader();
   rows.forEach(([name, cost]) => printRow(name, cost));
   const line = lineAt(costs);
+  const slope = (figure: (cost: Cost) => number) =>
+    extrapolate(costs.map(([size, cost]) => [size, figure(cost)]), 1) -
+    extrapolate(costs.map(([size, cost]) => [size, figure(cost)]), 0);
+  console.log(
+    "\nslope per member of the fleet, ordinary day: " +
+      `${slope((cost) => cost.bytesSent).toFixed(3)} B/s sent, ` +
+      `${slope((cost) => cost.bytesReceived).toFixed(3)} B/s received, ` +
+      `${slope((cost) => cost.processorPercent).toFixed(5)}% of a core, ` +
+      `${slope((cost) => cost.heapMegabytes * 1000).toFixed(3)} KB of heap`,
+  );
   const direct = ordinary(full, FULL_SIZE);
   printHeader();
   printRow(`line at ${FULL_SIZE}, ordinary day`, line);
--- a/bench/control_process.ts
+++ b/bench/control_process.ts
@@ -1,17 +1,23 @@
 // Process of the control cost measurement that runs members or the stand-in
 // fleet. It serves one command after the other from the parent process.
+import { createServer } from "node:http2";
+import type { AddressInfo } from "node:net";
 import { create } from "@bufbuild/protobuf";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import {
   Membership,
+  PeerClients,
   PeerKeys,
   type TransportCounters,
   UdpTransport,
+  verifyPeerCalls,
 } from "@oleanderdeck/membership";
 import {
   type Member,
   MemberSchema,
   MemberState,
+  PeerService,
   WorkerSchema,
   WorkerState,
 } from "@oleanderdeck/protocol";
@@ -28,6 +34,8 @@
     readonly first: number;
     readonly count: number;
     readonly seeds: readonly string[];
+    /** Whether members pull lists from each other. */
+    readonly pulls: boolean;
   }
   /** Opens the stand-in fleet; answers with nothing. */
   | { readonly kind: "stand-in"; readonly count: number }
@@ -48,6 +56,8 @@
   /** Collects garbage and answers with the memory in use. */
   | { readonly kind: "memory" };
 
+type OpenCommand = Extract<Command, { kind: "open" }>;
+
 /** Totals of the members of a process since its start. */
 export interface Totals {
   readonly traffic: TransportCounters;
@@ -73,6 +83,7 @@
 }
 
 const clock = new SystemClock();
+const clients = new PeerClients({ keys: BENCH_KEYS, nodeId: "bench" });
 const members: Membership[] = [];
 let standIn: StandInFleet | undefined;
 let emptyHeapBytes = 0;
@@ -90,7 +101,7 @@
 function run(command: Command): unknown {
   switch (command.kind) {
     case "open":
-      return openMembers(command.first, command.count, command.seeds);
+      return openMembers(command);
     case "stand-in":
       standIn = new StandInFleet(BENCH_KEYS);
       return standIn.open(command.count);
@@ -118,22 +129,22 @@
 }
 
 async function openMembers(
-  first: number,
-  count: number,
-  seeds: readonly string[],
+  { count, first, pulls, seeds }: OpenCommand,
 ): Promise<readonly string[]> {
+  const controlAddress = await servePeerCalls();
   for (let index = first; index < first + count; index++) {
     const record = benchRecord(0, index);
     const member = new Membership({
       nodeId: record.nodeId,
       callAddress: record.callAddress,
-      controlAddress: record.controlAddress,
+      controlAddress,
       dataCentre: record.dataCentre,
       region: record.region,
       transport: new UdpTransport({ host: "127.0.0.1", port: 0 }),
       keys: BENCH_KEYS,
       clock,
       random: xoroshiro128plus(index + 1),
+      ...(pulls ? { pullMembers } : {}),
       // The first process has the seeds.
       seeds: () =>
         Promise.resolve(
@@ -149,9 +160,33 @@
   return members.map((member) => member.self().peerAddress);
 }
 
+async function pullMembers(peer: Member): Promise<readonly Member[]> {
+  // All members of a process share one server.
+  const server = { ...peer, nodeId: "bench" };
+  return (await clients.client(server).syncMembers({})).members;
+}
+
+/** Serves the lists of all members of the process in turn. */
+async function servePeerCalls(): Promise<string> {
+  let calls = 0;
+  const server = createServer(connectNodeAdapter({
+    interceptors: [verifyPeerCalls({ keys: BENCH_KEYS, nodeId: "bench" })],
+    routes: (router) =>
+      router.service(PeerService, {
+        syncMembers: ({ members: records }) => {
+          calls += 1;
+          const member = members[calls % members.length]!;
+          return { members: [...member.syncMembers(records)] };
+        },
+      }),
+  }));
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
 /** Record of the size that a node of a large fleet has. */
 export function benchRecord(port: number, index: number): Member {
-  const host = `10.${20 + (index >> 12)}.${(index >> 6) & 63}.${index & 63}`;
+  const host = `127.${20 + (index >> 12)}.${(index >> 6) & 63}.${index & 63}`;
   return create(MemberSchema, {
     nodeId: `bookings-${String(index).padStart(6, "0")}`,
     incarnation: 1n << 60n,
@@ -167,7 +202,7 @@
 }
 
 function benchWorker(index: number, change: number) {
-  const host = `10.${20 + (index >> 12)}.${(index >> 6) & 63}.${index & 63}`;
+  const host = `127.${20 + (index >> 12)}.${(index >> 6) & 63}.${index & 63}`;
   return create(WorkerSchema, {
     service: `bookings-${index % 1000}`,
     address: `${host}:8000`,
--- a/packages/membership/_anti_entropy.ts
+++ b/packages/membership/_anti_entropy.ts
@@ -22,7 +22,8 @@
   type MemberEntry,
 } from "./_member_table.ts";
 
-const EXCHANGE_INTERVAL_MS = 30_000;
+/** Time between two exchanges that a member starts, on average. */
+export const EXCHANGE_INTERVAL_MS = 30_000;
 
 /** Time in which a digest from a peer counts as the answer to one's own. */
 const ANSWER_WINDOW_MS = 10_000;
--- a/packages/membership/_disseminator.ts
+++ b/packages/membership/_disseminator.ts
@@ -23,7 +23,7 @@
 
 // Anti-entropy takes over from here. Without the limit, an update of a start of
 // all nodes waits for minutes behind thousands of others that all know.
-const UPDATE_LIFETIME_MS = 30_000;
+const UPDATE_LIFETIME_MS = 15_000;
 
 // A change of one record costs a node of a fleet of 5,100 about 4 KB within 3 s,
 // which the burst covers; the rate keeps recoveries of thousands of records
--- a/packages/membership/_joiner.ts
+++ b/packages/membership/_joiner.ts
@@ -1,6 +1,6 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import type { Datagram, Member } from "@oleanderdeck/protocol";
-import type { AntiEntropy } from "./_anti_entropy.ts";
+import { type AntiEntropy, EXCHANGE_INTERVAL_MS } from "./_anti_entropy.ts";
 import { ByteBudget, type ByteBudgetOptions } from "./_byte_budget.ts";
 import { isPeer, type MembershipContext } from "./_context.ts";
 import { encodeMember, isClaim } from "./_member_record.ts";
@@ -22,8 +22,14 @@
 /** Members of the whole fleet that ask a seed per interval, on average. */
 const SEED_CONTACTS_PER_INTERVAL = 3;
 
+const PULL_INTERVAL_MS = 1000;
+const MAXIMUM_PULLS = 20;
+
+/** Growth of the list by a pull below which no further one is made. */
+const SMALL_GROWTH = 1.01;
+
 const SYNCHRONISATION_INTERVAL_MS = 1000;
-const MAXIMUM_SYNCHRONISATION_ROUNDS = 60;
+const SYNCHRONISATION_BACKOFF = 1.5;
 
 /** Rounds without a difference after which the records are complete. */
 const QUIET_ROUNDS = 2;
@@ -55,7 +61,6 @@
 export class Joiner {
   readonly #options: JoinerOptions;
   readonly #introductions: ByteBudget;
-  #pulledCount = 0;
 
   constructor(options: JoinerOptions) {
     this.#options = options;
@@ -67,10 +72,12 @@
 
   /** Joins, and joins again when alone, until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock } = this.#options.context;
-    await clock.sleep(this.#random(0, START_JITTER_MS), signal);
+    const { context } = this.#options;
+    await context.clock.sleep(this.#random(0, START_JITTER_MS), signal);
     while (!signal.aborted) {
       await this.#findPeers(signal);
+      context.disseminator.announce(context.self());
+      await this.#pull(signal);
       await this.#synchronise(signal);
       await this.#keepContact(signal);
     }
@@ -134,53 +141,52 @@
     }
   }
 
-  // A new member compares its records with peers until they agree. With a pull
-  // function it takes the whole list from a peer first, and again each time that
-  // the fleet has doubled: after a restart of all nodes, lists are short at
-  // first and grow together.
-  async #synchronise(signal: AbortSignal): Promise<void> {
-    const { antiEntropy, context } = this.#options;
-    let quietRounds = 0;
+  // Takes whole lists from random peers until several in turn add little. After
+  // a restart of all nodes, the lists are short at first and double each round,
+  // but a peer may have started later and know less.
+  async #pull(signal: AbortSignal): Promise<void> {
+    const { accept, context, pullMembers } = this.#options;
+    const { clock, log, random, table } = context;
+    if (pullMembers === undefined) return;
+    let quietPulls = 0;
     for (
       let round = 0;
-      round < MAXIMUM_SYNCHRONISATION_ROUNDS && quietRounds < QUIET_ROUNDS &&
-      !signal.aborted;
+      round < MAXIMUM_PULLS && quietPulls < QUIET_ROUNDS && !signal.aborted;
       round++
     ) {
-      await this.#pull();
-      const differences = antiEntropy.differencesSeen;
-      antiEntropy.exchange();
-      await context.clock.sleep(
-        this.#random(
-          SYNCHRONISATION_INTERVAL_MS / 2,
-          SYNCHRONISATION_INTERVAL_MS * 3 / 2,
-        ),
-        signal,
-      );
-      quietRounds = antiEntropy.differencesSeen === differences
-        ? quietRounds + 1
-        : 0;
+      const [peer] = table.sample(random, 1, (entry) => isPeer(context, entry));
+      if (peer === undefined) return;
+      const countBefore = table.liveCount;
+      try {
+        accept(await pullMembers(peer.member));
+        const isQuiet = table.liveCount <= countBefore * SMALL_GROWTH;
+        quietPulls = isQuiet ? quietPulls + 1 : 0;
+      } catch (error) {
+        log?.write("info", "member_pull_failed", {
+          peer: peer.member.nodeId,
+          error: String(error),
+        });
+      }
+      await clock.sleep(this.#jittered(PULL_INTERVAL_MS), signal);
     }
   }
 
-  async #pull(): Promise<void> {
-    const { accept, context, pullMembers } = this.#options;
-    const { liveCount } = context.table;
-    if (pullMembers === undefined || liveCount < this.#pulledCount * 2) return;
-    const [peer] = context.table.sample(
-      context.random,
-      1,
-      (entry) => isPeer(context, entry),
-    );
-    if (peer === undefined) return;
-    try {
-      accept(await pullMembers(peer.member));
-      this.#pulledCount = context.table.liveCount;
-    } catch (error) {
-      context.log?.write("info", "member_pull_failed", {
-        peer: peer.member.nodeId,
-        error: String(error),
-      });
+  // Compares records with peers until they agree. The interval grows, since a
+  // fleet that starts at once differs everywhere for a while.
+  async #synchronise(signal: AbortSignal): Promise<void> {
+    const { antiEntropy, context } = this.#options;
+    let quietRounds = 0;
+    let intervalMs = SYNCHRONISATION_INTERVAL_MS;
+    while (
+      quietRounds < QUIET_ROUNDS && intervalMs < EXCHANGE_INTERVAL_MS &&
+      !signal.aborted
+    ) {
+      const differences = antiEntropy.differencesSeen;
+      antiEntropy.exchange();
+      await context.clock.sleep(this.#jittered(intervalMs), signal);
+      const isQuiet = antiEntropy.differencesSeen === differences;
+      quietRounds = isQuiet ? quietRounds + 1 : 0;
+      if (!isQuiet) intervalMs *= SYNCHRONISATION_BACKOFF;
     }
   }
 
@@ -189,16 +195,20 @@
   async #keepContact(signal: AbortSignal): Promise<void> {
     const { clock, table } = this.#options.context;
     while (!signal.aborted && table.liveCount > 1) {
-      await clock.sleep(
-        this.#random(SEED_INTERVAL_MS / 2, SEED_INTERVAL_MS * 3 / 2),
-        signal,
-      );
+      await clock.sleep(this.#jittered(SEED_INTERVAL_MS), signal);
       const isChosen =
         this.#random(1, table.liveCount) <= SEED_CONTACTS_PER_INTERVAL;
       if (isChosen && !signal.aborted) await this.#contact(1);
     }
   }
 
+  #jittered(intervalMs: number): number {
+    return this.#random(
+      Math.floor(intervalMs / 2),
+      Math.ceil(intervalMs * 3 / 2),
+    );
+  }
+
   #random(from: number, to: number): number {
     return uniformInt(this.#options.context.random, from, to);
   }
