--- a/packages/daemon/node.ts
+++ b/packages/daemon/node.ts
@@ -39,7 +39,7 @@
   RemoteSettlement,
 } from "./peer_adapters.ts";
 import { peerRoutes } from "./peer_routes.ts";
-import { findSeeds } from "./seeds.ts";
+import { findSeeds, SeedPublisher } from "./seeds.ts";
 import { FleetWorkerControl } from "./worker_control.ts";
 
 /** Time between two reports of gauges, in milliseconds. */
@@ -70,6 +70,7 @@
   readonly #registration: BackendServerRegistration;
   readonly #clients: PeerClients;
   readonly #control: ControlServer;
+  readonly #seedPublisher: SeedPublisher;
   readonly #edge: CallEdge;
   #gauges: NodeJS.Timeout | undefined;
 
@@ -166,6 +167,12 @@
       log,
       clock,
     });
+    this.#seedPublisher = new SeedPublisher({
+      members: this.#membership,
+      store: this.#store,
+      clock,
+      log,
+    });
     const operator = operatorRoutes({
       editor: this.#configuration.editor,
       replica: this.#replica,
@@ -209,6 +216,7 @@
     await this.#edge.listen(host, port);
     await this.#membership.start();
     this.#configuration.start();
+    this.#seedPublisher.start();
     this.#gauges = setInterval(() => this.#reportGauges(), GAUGE_INTERVAL_MS);
     this.#log.write("info", "node_started", {
       node: nodeId,
@@ -232,6 +240,7 @@
     this.#registration.close();
     await this.#admission.close();
     await this.#configuration.close();
+    await this.#seedPublisher.close();
     await this.#control.close();
     this.#clients.close();
     await this.#membership.close();
@@ -259,6 +268,7 @@
       this.#admission.close(),
       this.#membership.close(),
       this.#configuration.close(),
+      this.#seedPublisher.close(),
       this.#control.close(),
     ]);
     this.#clients.close();
