Test faults on separate processes

Pauses a node past its leases, kills and replaces hosts, and stops a host under load, and counts duplicates, requests beyond the slots and cut calls.

--- a/packages/demo/demonstration.ts
+++ b/packages/demo/demonstration.ts
@@ -1,11 +1,8 @@
-import { randomBytes } from "node:crypto";
-import { createHash } from "node:crypto";
-import { execFile } from "node:child_process";
+import { createHash, randomBytes } from "node:crypto";
 import { mkdtempSync, readFileSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { promisify } from "node:util";
 import {
   type LoadDescription,
   loadDescriptionSchema,
@@ -13,6 +10,7 @@
   runLoad,
 } from "@oleanderdeck/load";
 import { formatFault, readJsonc } from "@oleanderdeck/settings";
+import { applyDocuments } from "./apply_documents.ts";
 import {
   type DeployedHost,
   type Deployment,
@@ -123,7 +121,12 @@
     this.#running.start();
     await this.#running.waitUntilReady();
     report(`${name}: applying the documents`);
-    await this.#apply();
+    await applyDocuments({
+      programs: this.#options.programs,
+      documents: join(this.#options.examples, name, "documents"),
+      node: this.#hosts[0]!.controlAddress,
+      token: this.#token,
+    });
     await sleep(SETTLE_MS);
     report(`${name}: load and faults`);
     const loading = runLoad(this.#description);
@@ -148,19 +151,6 @@
     rmSync(this.#directory, { recursive: true, force: true });
   }
 
-  async #apply(): Promise<void> {
-    const { examples, programs } = this.#options;
-    await promisify(execFile)(process.execPath, [
-      join(programs, "oleanderdeck.mjs"),
-      "apply",
-      join(examples, this.#deployment.name, "documents"),
-      "--node",
-      this.#hosts[0]!.controlAddress,
-      "--token",
-      this.#token,
-    ]);
-  }
-
   async #bringAboutFaults(): Promise<boolean> {
     const { killedHost, slowService, stoppedHost } = this.#deployment.demo;
     const slowed = this.#hosts.filter(({ service }) => service === slowService);
--- a/packages/demo/deployment.ts
+++ b/packages/demo/deployment.ts
@@ -29,7 +29,8 @@
   requests: backendBehaviourSchema.shape.requests,
 });
 
-const deploymentSchema = z.strictObject({
+/** Schema of the description of a deployment. */
+export const deploymentSchema = z.strictObject({
   name: z.string(),
   region: z.string(),
   platformAddress: z.string(),
--- /dev/null
+++ b/packages/demo/process_faults_test.ts
@@ -0,0 +1,175 @@
+import { createHash } from "node:crypto";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { loadDescriptionSchema, runLoad } from "@oleanderdeck/load";
+import { applyDocuments } from "./apply_documents.ts";
+import {
+  type DeployedHost,
+  type Deployment,
+  deploymentSchema,
+  writeHosts,
+} from "./deployment.ts";
+import { RunningDeployment } from "./running_deployment.ts";
+
+// `npm run verify` builds the programs before the tests.
+const PROGRAMS = fileURLToPath(new URL("../../dist/", import.meta.url));
+const DOCUMENTS = fileURLToPath(
+  new URL("../../examples/lunchtable/documents", import.meta.url),
+);
+
+const TOKEN = "operator-token";
+const SLOTS = 8;
+
+function service(name: string, ips: readonly string[]) {
+  return {
+    service: name,
+    slots: SLOTS,
+    connectionLimit: 100,
+    hosts: ips.map((ip) => ({ dataCentre: "wa-a", ip })),
+    requests: [{
+      method: "*",
+      path: "*",
+      serviceTime: { distribution: "constant" as const, milliseconds: 20 },
+    }],
+  };
+}
+
+const DEPLOYMENT: Deployment = deploymentSchema.parse({
+  name: "test",
+  region: "wa",
+  platformAddress: "127.54.0.1:9400",
+  demo: { slowService: "", killedHost: "", stoppedHost: "" },
+  services: [
+    service("bookings", ["127.54.1.1", "127.54.1.2"]),
+    service("menus", ["127.54.1.3", "127.54.1.4"]),
+  ],
+});
+
+let directory: string;
+let hosts: readonly DeployedHost[];
+let running: RunningDeployment;
+
+beforeEach(async () => {
+  directory = mkdtempSync(join(tmpdir(), "oleanderdeck-test-"));
+  hosts = writeHosts(DEPLOYMENT, {
+    directory,
+    peerKey: "0123456789abcdef",
+    operatorTokenHash: createHash("sha256").update(TOKEN).digest("hex"),
+  });
+  running = new RunningDeployment({
+    deployment: DEPLOYMENT,
+    hosts,
+    programs: PROGRAMS,
+  });
+  running.start();
+  await running.waitUntilReady();
+  await applyDocuments({
+    programs: PROGRAMS,
+    documents: DOCUMENTS,
+    node: hosts[0]!.controlAddress,
+    token: TOKEN,
+  });
+  await sleep(1500);
+}, 30_000);
+
+afterEach(async () => {
+  await running.close();
+  rmSync(directory, { recursive: true, force: true });
+}, 30_000);
+
+function load(nodes: readonly string[], durationMs: number) {
+  const retry = { attempts: 3, when: "useful" };
+  const common = { timeoutMs: 2000, retry };
+  return runLoad(loadDescriptionSchema.parse({
+    nodes,
+    phases: [{ durationMs, multiplier: 1 }],
+    calls: [
+      {
+        ...common,
+        name: "book",
+        service: "bookings",
+        method: "POST",
+        path: "/orders",
+        bodyBytes: 100,
+        credential: "fremantle-club:fremantle-club-example-secret",
+        callsPerSecond: 60,
+        permit: "first",
+      },
+      {
+        ...common,
+        name: "read",
+        service: "menus",
+        path: "/today",
+        credential: "albany-club:albany-club-example-secret",
+        callsPerSecond: 80,
+      },
+    ],
+  }));
+}
+
+async function brokenPromises() {
+  const states = await running.readStandIns();
+  return {
+    duplicates: states.flatMap(({ duplicatePosts }) =>
+      Object.keys(duplicatePosts)
+    ),
+    beyondSlots: states.reduce(
+      (sum, { counts }) => sum + counts.refusedFull,
+      0,
+    ),
+  };
+}
+
+const NONE = { duplicates: [], beyondSlots: 0 };
+
+// Guards against a paused holder that uses slots which were granted to others
+// meanwhile, and against a second run of a request when it resumes.
+test("a node paused past its leases does no harm", async () => {
+  const nodes = hosts.map(({ callAddress }) => callAddress);
+  const loading = load(nodes, 7000);
+  await sleep(1000);
+  running.signalNode("127.54.1.1", "SIGSTOP");
+  await sleep(4000);
+  running.signalNode("127.54.1.1", "SIGCONT");
+  const report = await loading;
+  expect(await brokenPromises()).toEqual(NONE);
+  const { whole = 0, rejected = 0 } = report.totals.calls.outcomes;
+  expect(whole).toBeGreaterThan(0);
+  expect(report.totals.attempts.outcomes.wrong_body ?? 0).toBe(0);
+  expect(whole + rejected).toBeGreaterThan(report.totals.sent / 2);
+}, 60_000);
+
+// Guards against a killed host that takes calls of others with it for long, and
+// against a replacement that trusts the memory of its predecessor.
+test("a host killed and replaced runs nothing twice", async () => {
+  const nodes = ["127.54.1.1:7100", "127.54.1.3:7100"];
+  const loading = load(nodes, 6000);
+  await sleep(1000);
+  running.kill("127.54.1.2");
+  running.kill("127.54.1.4");
+  await sleep(2000);
+  running.restart("127.54.1.2");
+  running.restart("127.54.1.4");
+  const report = await loading;
+  expect(await brokenPromises()).toEqual(NONE);
+  expect(report.totals.attempts.outcomes.wrong_body ?? 0).toBe(0);
+  const again = await load(nodes, 2000);
+  expect(again.totals.calls.outcomes).toEqual({ whole: again.totals.sent });
+}, 60_000);
+
+// Guards against a stop that cuts off calls in flight.
+test("SIGTERM under load cuts off no call", async () => {
+  const nodes = hosts.map(({ callAddress }) => callAddress);
+  const loading = load(nodes, 5000);
+  await sleep(1000);
+  expect(await running.stop("127.54.1.3")).toBe(true);
+  const report = await loading;
+  expect(await brokenPromises()).toEqual(NONE);
+  const { outcomes } = report.totals.attempts;
+  expect(outcomes.connection_lost ?? 0).toBe(0);
+  expect(outcomes.cut ?? 0).toBe(0);
+}, 60_000);
--- a/packages/demo/running_deployment.ts
+++ b/packages/demo/running_deployment.ts
@@ -81,6 +81,11 @@
     );
   }
 
+  /** Sends a signal to the node of a host. */
+  signalNode(ip: string, signal: NodeJS.Signals): void {
+    this.#find(ip).node.signal(signal);
+  }
+
   /** Kills both processes of a host, as when a host fails. */
   kill(ip: string): void {
     const { backend, node } = this.#find(ip);
