--- a/packages/calls/call_edge.ts
+++ b/packages/calls/call_edge.ts
@@ -14,7 +14,12 @@
 import { Call } from "./_call.ts";
 import { CallWatch } from "./_call_watch.ts";
 import { type ControlHandler, controlHandler } from "./_control_routes.ts";
-import { CallIds, type EdgeParts, ExpectedDurations } from "./_edge_parts.ts";
+import {
+  CallIds,
+  type EdgeParts,
+  ExpectedDurations,
+  Withdrawals,
+} from "./_edge_parts.ts";
 import { IntakeReader } from "./_intake.ts";
 import { refusalBody, refusalLines, sendRefusal } from "./_refusal.ts";
 import { TargetPools } from "./_target_pools.ts";
@@ -68,6 +73,7 @@
       watch: new CallWatch(options.clock),
       callIds: new CallIds(self.incarnation),
       durations: new ExpectedDurations(),
+      withdrawals: new Withdrawals(),
       isDraining: () => this.#draining,
     };
     this.#control = controlHandler(
@@ -143,6 +149,17 @@
     await this.#parts.pools.close();
   }
 
+  /** Ends at once; calls in flight are cut off. */
+  async abort(): Promise<void> {
+    this.drain();
+    const closed = new Promise<void>((resolve) =>
+      this.#server.close(() => resolve())
+    );
+    this.#server.closeAllConnections();
+    await closed;
+    await this.#parts.pools.close();
+  }
+
   #accept(request: IncomingMessage, response: ServerResponse): void {
     if (request.url!.startsWith(CONTROL_PREFIX)) {
       this.#controlCalls++;
--- a/packages/daemon/node.ts
+++ b/packages/daemon/node.ts
@@ -11,14 +11,15 @@
 } from "@oleanderdeck/configuration";
 import { PermitLedger } from "@oleanderdeck/idempotency";
 import {
-  authenticatePeers,
   Membership,
   PeerClients,
   PeerKeys,
   UdpTransport,
+  verifyPeerCalls,
 } from "@oleanderdeck/membership";
 import { EventLog, Metrics } from "@oleanderdeck/observability";
 import { operatorRoutes } from "@oleanderdeck/operator";
+import { type Member, MemberState } from "@oleanderdeck/protocol";
 import {
   AllowanceLedger,
   ChainRetryPolicy,
@@ -38,7 +39,7 @@
   RemoteSettlement,
 } from "./peer_adapters.ts";
 import { peerRoutes } from "./peer_routes.ts";
-import { findSeeds } from "./seeds.ts";
+import { findSeeds, SeedPublisher } from "./seeds.ts";
 import { FleetWorkerControl } from "./worker_control.ts";
 
 /** Time between two reports of gauges, in milliseconds. */
@@ -69,6 +70,7 @@
   readonly #registration: BackendServerRegistration;
   readonly #clients: PeerClients;
   readonly #control: ControlServer;
+  readonly #seedPublisher: SeedPublisher;
   readonly #edge: CallEdge;
   #gauges: NodeJS.Timeout | undefined;
 
@@ -91,7 +93,8 @@
     });
     this.#clients = new PeerClients({
       keys,
-      timeoutMs: settings.timeouts.peerMs,
+      nodeId,
+      callTimeoutMs: settings.timeouts.peerMs,
     });
     this.#membership = new Membership({
       nodeId,
@@ -164,6 +167,12 @@
       log,
       clock,
     });
+    this.#seedPublisher = new SeedPublisher({
+      members: this.#membership,
+      store: this.#store,
+      clock,
+      log,
+    });
     const operator = operatorRoutes({
       editor: this.#configuration.editor,
       replica: this.#replica,
@@ -186,7 +195,7 @@
       membership: this.#membership,
       allowances,
       own: this.#own,
-      authentication: authenticatePeers(keys),
+      authentication: verifyPeerCalls({ keys, nodeId }),
     });
     this.#control = new ControlServer((router) => {
       operator(router);
@@ -207,6 +216,7 @@
     await this.#edge.listen(host, port);
     await this.#membership.start();
     this.#configuration.start();
+    this.#seedPublisher.start();
     this.#gauges = setInterval(() => this.#reportGauges(), GAUGE_INTERVAL_MS);
     this.#log.write("info", "node_started", {
       node: nodeId,
@@ -230,6 +240,7 @@
     this.#registration.close();
     await this.#admission.close();
     await this.#configuration.close();
+    await this.#seedPublisher.close();
     await this.#control.close();
     this.#clients.close();
     await this.#membership.close();
@@ -238,6 +249,33 @@
     this.#log.write("info", "node_stopped", { node: this.#settings.nodeId });
   }
 
+  /** Live members as this node knows them, itself included. */
+  members(): readonly Member[] {
+    return this.#membership.members().filter(({ state }) =>
+      state === MemberState.ALIVE || state === MemberState.SUSPECT
+    );
+  }
+
+  /**
+   * Ends at once without a word to anybody, as when the process is killed.
+   * Calls in flight are cut off.
+   */
+  async abandon(): Promise<void> {
+    clearInterval(this.#gauges);
+    this.#registration.close();
+    await Promise.all([
+      this.#edge.abort(),
+      this.#admission.close(),
+      this.#membership.close(),
+      this.#configuration.close(),
+      this.#seedPublisher.close(),
+      this.#control.close(),
+    ]);
+    this.#clients.close();
+    await this.#store.close();
+    await this.#metrics.close();
+  }
+
   // Requests that run on the own worker may make further calls through this
   // node, so the call port stays open until they have ended.
   async #waitForWorker(): Promise<void> {
