Split the call path, count repeated requests, test the backend stand-in

The call path is split into the call as its caller sees it, the series of its attempts and its retry allowance. A caller's repetitions of an idempotent root request count against the allowance of the first one. Retries lent with an attempt that was not run are given back in all cases. A test of forwarded calls found a serving node that left such calls in flight until their deadline; the cause, a missing allowance, is removed.

--- a/packages/calls/_attempt.ts
+++ b/packages/calls/_attempt.ts
@@ -58,6 +58,11 @@
     return this.#abort !== undefined;
   }
 
+  /** Whether the header of the answer has arrived. */
+  get answered(): boolean {
+    return this.#answered;
+  }
+
   /** Whether the target waits for the caller to read. */
   get paused(): boolean {
     return this.#paused;
--- a/packages/calls/_intake.ts
+++ b/packages/calls/_intake.ts
@@ -43,6 +43,8 @@
   readonly rootId: Uint8Array;
   /** Request identity; undefined when the caller sends none. */
   readonly identity: string | undefined;
+  /** Time on the clock of the node at which the header was read. */
+  readonly receivedAt: number;
   /** Time on the clock of the node. */
   readonly deadline: number;
   readonly requestedRetries: number | undefined;
@@ -122,6 +124,7 @@
       return malformed("A field is not a whole number");
     }
     const method = request.method!;
+    const receivedAt = this.#options.clock.now();
     return this.#origin(view, lines, { method, url }).map((origin) => {
       const root = origin.context;
       const rootId = root?.rootId ??
@@ -150,7 +153,8 @@
         depth,
         rootId,
         identity,
-        deadline: this.#options.clock.now() + Math.min(
+        receivedAt,
+        deadline: receivedAt + Math.min(
           timeoutMs ?? policy.defaultTimeoutMs,
           policy.maximumTimeoutMs,
         ),
--- a/packages/calls/call_context.ts
+++ b/packages/calls/call_context.ts
@@ -21,8 +21,11 @@
 
 const MAXIMUM_CONTEXT_LENGTH = 2048;
 
-/** Encoded parts that are equal for many calls; this many are kept. */
-const CACHED_PARTS = 1024;
+/** Encoded parts that are equal for many calls, kept per audience node. */
+const CACHED_PARTS = 64;
+
+/** Audience nodes for which encoded parts are kept. */
+const CACHED_AUDIENCES = 256;
 
 /** Why a node forwards a call to another node. */
 export type ForwardMode =
@@ -40,7 +43,7 @@
 export class ContextCodec {
   readonly #keys: PeerKeys;
   readonly #cache = new Map<string, CallContext>();
-  readonly #parts = new Map<string, Uint8Array>();
+  readonly #parts = new Map<string, SharedPart[]>();
 
   /** @param keys Keys shared by all nodes. */
   constructor(keys: PeerKeys) {
@@ -108,27 +111,22 @@
   }
 
   #sharedPart(fields: CallContextFields): Uint8Array {
-    const key = `${fields.organisation}\n${fields.service}\n` +
-      `${fields.audience}\n${fields.audienceIncarnation}\n` +
-      `${fields.priority} ${fields.depth}`;
-    const known = this.#parts.get(key);
+    const parts = this.#partsFor(fields.audience);
+    const known = parts.find((part) => part.fits(fields));
+    if (known !== undefined) return known.bytes;
+    if (parts.length >= CACHED_PARTS) parts.length = 0;
+    const part = new SharedPart(fields);
+    parts.push(part);
+    return part.bytes;
+  }
+
+  #partsFor(audience: string): SharedPart[] {
+    const known = this.#parts.get(audience);
     if (known !== undefined) return known;
-    const { organisation, service, priority, depth } = fields;
-    const { audience, audienceIncarnation } = fields;
-    const part = toBinary(
-      CallContextSchema,
-      create(CallContextSchema, {
-        organisation,
-        service,
-        priority,
-        depth,
-        audience,
-        audienceIncarnation,
-      }),
-    );
-    if (this.#parts.size >= CACHED_PARTS) this.#parts.clear();
-    this.#parts.set(key, part);
-    return part;
+    if (this.#parts.size >= CACHED_AUDIENCES) this.#parts.clear();
+    const parts: SharedPart[] = [];
+    this.#parts.set(audience, parts);
+    return parts;
   }
 
   #decode(text: string): CallContext | undefined {
@@ -148,6 +146,37 @@
   }
 }
 
+/** Encoded fields that are equal for all calls of one kind to one node. */
+class SharedPart {
+  readonly bytes: Uint8Array;
+  readonly #fields: CallContextFields;
+
+  constructor(fields: CallContextFields) {
+    const { organisation, service, priority, depth } = fields;
+    const { audience, audienceIncarnation } = fields;
+    this.#fields = fields;
+    this.bytes = toBinary(
+      CallContextSchema,
+      create(CallContextSchema, {
+        organisation,
+        service,
+        priority,
+        depth,
+        audience,
+        audienceIncarnation,
+      }),
+    );
+  }
+
+  fits(fields: CallContextFields): boolean {
+    const own = this.#fields;
+    return own.organisation === fields.organisation &&
+      own.service === fields.service && own.priority === fields.priority &&
+      own.depth === fields.depth &&
+      own.audienceIncarnation === fields.audienceIncarnation;
+  }
+}
+
 /** Parts of a forwarded call that its code covers. */
 export interface ForwardedCall {
   readonly mode: ForwardMode;
--- a/packages/calls/call_edge.ts
+++ b/packages/calls/call_edge.ts
@@ -7,6 +7,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { DeckError, ERROR_ANSWERS } from "@oleanderdeck/errors";
 import { CONTROL_PREFIX } from "@oleanderdeck/protocol";
+import { CallerRetries } from "@oleanderdeck/retries";
 import { Call } from "./_call.ts";
 import { CallWatch } from "./_call_watch.ts";
 import { type ControlHandler, controlHandler } from "./_control_routes.ts";
@@ -69,6 +70,8 @@
       callIds: new CallIds(self.incarnation),
       durations: new ExpectedDurations(),
       withdrawals: new Withdrawals(),
+      callerRetries: new CallerRetries(options.clock),
+      now: () => options.clock.now(),
       isDraining: () => this.#draining,
     };
     this.#control = controlHandler(options, () => this.#draining);
--- a/packages/calls/call_edge_test.ts
+++ b/packages/calls/call_edge_test.ts
@@ -1,6 +1,7 @@
 import { createHash } from "node:crypto";
 import { afterEach, expect, test } from "vitest";
 import { request } from "undici";
+import { PeerKeys } from "@oleanderdeck/membership";
 import type { RuleQuery } from "@oleanderdeck/agreement";
 import {
   BODY_HASH_FIELD,
@@ -9,6 +10,7 @@
   forwardTarget,
   OpenPolicy,
 } from "@oleanderdeck/testing";
+import { ContextCodec, type ForwardedCall } from "./call_context.ts";
 
 const policy = new OpenPolicy({
   services: { menus: {}, bookings: {} },
@@ -99,6 +101,8 @@
   expect(answer.headers["oleanderdeck-unused-retries"]).toBeUndefined();
   expect(serving.admission.requests).toMatchObject([{ forwarded: true }]);
   expect(calling.admission.results).toMatchObject([{ threshold: 512 }]);
+  expect([calling, serving].map((edge) => edge.node.edge.inFlight))
+    .toEqual([0, 0]);
 });
 
 // Guards against retries that go back to the worker that refused.
@@ -113,3 +117,42 @@
     .toEqual([[], ["gone"]]);
   expect(admission.results[0]?.failure).toBe("connection_refused");
 });
+
+// Guards against a serving node that keeps lent retries, returns them twice, or
+// accepts a forward that was signed for another request.
+test("a serving node returns unused retries once", async () => {
+  const backend = await fixture.backend({ service: "menus" });
+  const edge = await fixture.edge({ menus: [directTarget(backend.address)] });
+  const codec = new ContextCodec(new PeerKeys(["stand-in key"]));
+  const context = codec.encode({
+    rootId: Buffer.from("root"),
+    callId: Buffer.alloc(16, 1),
+    organisation: "lunchtable",
+    priority: 1,
+    shedKey: 5,
+    depth: 2,
+    lentRetries: 2,
+    audience: "node-1",
+    audienceIncarnation: 1n,
+    service: "menus",
+  });
+  const call = { mode: "serve", context, method: "GET", url: "/menus/list" };
+  const peer = codec.signForward("node-9", call as ForwardedCall);
+  const forward = async (path: string) => {
+    const answer = await request(edge.url + path, {
+      headers: { "oleanderdeck-context": context, "oleanderdeck-peer": peer },
+    });
+    await answer.body.dump();
+    return [answer.statusCode, answer.headers["oleanderdeck-unused-retries"]];
+  };
+  expect(await forward("/menus/list")).toEqual([200, "2"]);
+  expect(await forward("/menus/list")).toEqual([200, "0"]);
+  expect(await forward("/menus/other")).toEqual([400, undefined]);
+  expect(edge.admission.requests[0]).toMatchObject({
+    forwarded: true,
+    countsForLimit: false,
+    organisation: "lunchtable",
+    priority: 1,
+    shedKey: 5,
+  });
+});
--- a/packages/retries/mod.ts
+++ b/packages/retries/mod.ts
@@ -7,5 +7,6 @@
 
 export * from "./allowance.ts";
 export * from "./allowance_ledger.ts";
+export * from "./caller_retries.ts";
 export * from "./retry_budget.ts";
 export * from "./retry_policy.ts";
