--- a/packages/calls/call_edge.ts
+++ b/packages/calls/call_edge.ts
@@ -11,6 +11,7 @@
   CONTROL_PREFIX,
   PEER_FIELD,
 } from "@oleanderdeck/protocol";
+import { CallerRetries } from "@oleanderdeck/retries";
 import { Call } from "./_call.ts";
 import { CallWatch } from "./_call_watch.ts";
 import { type ControlHandler, controlHandler } from "./_control_routes.ts";
@@ -74,6 +75,8 @@
       callIds: new CallIds(self.incarnation),
       durations: new ExpectedDurations(),
       withdrawals: new Withdrawals(),
+      callerRetries: new CallerRetries(options.clock),
+      now: () => options.clock.now(),
       isDraining: () => this.#draining,
     };
     this.#control = controlHandler(
