Check the promises of the design against recorded sessions

Change: an abstract Invariant with one implementation per promise over a list of typed events. Tests show that each one reports broken sessions and accepts a whole one. Conclusion: 8 invariants, none run against recorded sessions yet.

--- /dev/null
+++ b/packages/testing/invariants/accurate_rejections.ts
@@ -0,0 +1,52 @@
+import { groupBy, Invariant, type Violation } from "./invariant.ts";
+import type { SessionEvent, SessionEventOf } from "./session_event.ts";
+
+/**
+ * A rejection that states "not run" is accurate: no execution belongs to the
+ * rejected sending, before or after, and a non-idempotent request has not been
+ * run by an earlier sending either. An answer that states "run" has one.
+ */
+export class AccurateRejections extends Invariant {
+  readonly name = "rejections state accurately what was run";
+
+  check(session: readonly SessionEvent[]): readonly Violation[] {
+    const requests = new Map<number, SessionEventOf<"request_sent">>();
+    const runs: {
+      readonly index: number;
+      readonly event: SessionEventOf<"execution_started">;
+    }[] = [];
+    session.forEach((event, index) => {
+      if (event.kind === "request_sent") requests.set(event.sending, event);
+      if (event.kind === "execution_started" && event.root) {
+        runs.push({ index, event });
+      }
+    });
+    const bySending = groupBy(runs, ({ event }) => event.sending);
+    const byIdentity = groupBy(runs, ({ event }) => event.identity);
+    return session.flatMap((event, index) => {
+      if (event.kind !== "response_received") return [];
+      const request = requests.get(event.sending);
+      if (request === undefined) return [];
+      const own = bySending.get(event.sending) ?? [];
+      const same = (byIdentity.get(request.identity) ?? [])
+        .filter((run) => run.index < index);
+      if (event.run === "no") {
+        const run = own[0] ?? (request.idempotent ? undefined : same[0]);
+        return run === undefined ? [] : [
+          this.violation(
+            event.at,
+            `${event.caller} was told that ${request.identity} was not run, but ${run.event.server} ran it`,
+          ),
+        ];
+      }
+      return event.run === "yes" && own.length + same.length === 0
+        ? [
+          this.violation(
+            event.at,
+            `${event.caller} was told that ${request.identity} was run, but nobody ran it`,
+          ),
+        ]
+        : [];
+    });
+  }
+}
--- /dev/null
+++ b/packages/testing/invariants/at_most_once.ts
@@ -0,0 +1,28 @@
+import { eventsOf, groupBy, Invariant, type Violation } from "./invariant.ts";
+import type { SessionEvent } from "./session_event.ts";
+
+/** A non-idempotent request runs at most once. */
+export class AtMostOnce extends Invariant {
+  readonly name = "non-idempotent requests run at most once";
+
+  check(session: readonly SessionEvent[]): readonly Violation[] {
+    const once = new Set(
+      eventsOf(session, "request_sent")
+        .filter(({ idempotent }) => !idempotent)
+        .map(({ identity }) => identity),
+    );
+    const runs = eventsOf(session, "execution_started").filter((run) =>
+      run.root && once.has(run.identity)
+    );
+    return [...groupBy(runs, ({ identity }) => identity)]
+      .filter(([, same]) => same.length > 1)
+      .map(([identity, same]) =>
+        this.violation(
+          same[1]!.at,
+          `${identity} ran ${same.length} times, at ${
+            same.map(({ server }) => server).join(" and ")
+          }`,
+        )
+      );
+  }
+}
--- /dev/null
+++ b/packages/testing/invariants/graceful_stops.ts
@@ -0,0 +1,47 @@
+import { Invariant, type Violation } from "./invariant.ts";
+import type { SessionEvent, SessionEventOf } from "./session_event.ts";
+
+/**
+ * A planned stop interrupts no request in flight: whatever a leaving server has
+ * begun ends whole, unless the server is killed or the upload was cut.
+ */
+export class GracefulStops extends Invariant {
+  readonly name = "a planned stop interrupts no request";
+
+  check(session: readonly SessionEvent[]): readonly Violation[] {
+    const leaving = new Set<string>();
+    const running = new Map<number, SessionEventOf<"execution_started">>();
+    const found: Violation[] = [];
+    for (const event of session) {
+      if (event.kind === "server_changed") {
+        if (event.state === "leaving") leaving.add(event.server);
+        else leaving.delete(event.server);
+        if (event.state !== "killed") continue;
+        for (const [execution, { server }] of running) {
+          if (server === event.server) running.delete(execution);
+        }
+      } else if (event.kind === "execution_started") {
+        running.set(event.execution, event);
+      } else if (event.kind === "execution_ended") {
+        const begun = running.get(event.execution);
+        running.delete(event.execution);
+        if (event.result !== "interrupted" || begun === undefined) continue;
+        if (!leaving.has(event.server)) continue;
+        found.push(
+          this.violation(
+            event.at,
+            `${event.server} interrupted ${begun.identity} while it left`,
+          ),
+        );
+      } else if (event.kind === "session_ended") {
+        for (const { server, identity } of running.values()) {
+          if (!leaving.has(server)) continue;
+          found.push(
+            this.violation(event.at, `${server} never finished ${identity}`),
+          );
+        }
+      }
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/packages/testing/invariants/importance_respected.ts
@@ -0,0 +1,68 @@
+import type { ErrorKind } from "@oleanderdeck/errors";
+import { Invariant, type Violation } from "./invariant.ts";
+import type { SessionEvent, SessionEventOf } from "./session_event.ts";
+
+/** Refusals that mean that capacity is short. */
+const SHED: ReadonlySet<ErrorKind | undefined> = new Set<ErrorKind>([
+  "shed_low_priority",
+  "queue_full",
+  "downstream_pressure",
+]);
+
+interface Ticket {
+  readonly asked: SessionEventOf<"admission_asked">;
+  readonly askedIndex: number;
+  answered: SessionEventOf<"admission_answered"> | undefined;
+  answeredIndex: number;
+}
+
+/**
+ * When capacity is short, critical work is shed after less important work: no
+ * critical attempt is shed by a queue while a less important one waits in it
+ * that is admitted later, or while one is admitted past the waiting one.
+ */
+export class ImportanceRespected extends Invariant {
+  readonly name = "important work is shed last";
+
+  check(session: readonly SessionEvent[]): readonly Violation[] {
+    const tickets = new Map<number, Ticket>();
+    session.forEach((event, index) => {
+      if (event.kind === "admission_asked") {
+        tickets.set(event.ticket, {
+          asked: event,
+          askedIndex: index,
+          answered: undefined,
+          answeredIndex: Infinity,
+        });
+      } else if (event.kind === "admission_answered") {
+        const ticket = tickets.get(event.ticket);
+        if (ticket === undefined) return;
+        ticket.answered = event;
+        ticket.answeredIndex = index;
+      }
+    });
+    const all = [...tickets.values()];
+    const admitted = all.filter(({ answered, asked }) =>
+      answered !== undefined && answered.refusal === undefined &&
+      asked.priority > 0
+    );
+    return all
+      .filter(({ asked, answered }) =>
+        asked.priority === 0 && SHED.has(answered?.refusal)
+      )
+      .flatMap((shed) => {
+        const past = admitted.find((other) =>
+          other.asked.node === shed.asked.node &&
+          other.asked.queue === shed.asked.queue &&
+          other.askedIndex < shed.answeredIndex &&
+          other.answeredIndex > shed.askedIndex
+        );
+        return past === undefined ? [] : [
+          this.violation(
+            shed.answered!.at,
+            `a ${shed.asked.work} was shed at ${shed.asked.node} while a ${past.asked.work} was admitted`,
+          ),
+        ];
+      });
+  }
+}
--- /dev/null
+++ b/packages/testing/invariants/invariants_test.ts
@@ -0,0 +1,235 @@
+import { expect, test } from "vitest";
+import {
+  AccurateRejections,
+  AtMostOnce,
+  CompleteResponses,
+  ConfigurationInForce,
+  GracefulStops,
+  ImportanceRespected,
+  type Invariant,
+  LeaversGetNoWork,
+  RetriesBounded,
+  type SessionFact,
+} from "./mod.ts";
+
+const request = {
+  kind: "request_sent",
+  caller: "caller",
+  sending: 1,
+  identity: "booking 1",
+  node: "node",
+  service: "bookings",
+  work: "booking",
+  idempotent: false,
+  allowance: 1,
+} as const;
+
+const response = {
+  kind: "response_received",
+  caller: "caller",
+  sending: 1,
+  result: "complete",
+  run: "yes",
+  answers: "booking 1",
+  bytes: 200,
+  wholeBytes: 200,
+} as const;
+
+const started = {
+  kind: "execution_started",
+  server: "server",
+  execution: 1,
+  sending: 1,
+  identity: "booking 1",
+  service: "bookings",
+  attempt: 1,
+  fence: "1.1",
+  root: true,
+} as const;
+
+const ended = {
+  kind: "execution_ended",
+  server: "server",
+  execution: 1,
+  result: "complete",
+} as const;
+
+const attempt = {
+  kind: "attempt_sent",
+  node: "node",
+  sending: 1,
+  service: "bookings",
+  attempt: 1,
+} as const;
+
+const leaving = {
+  kind: "server_changed",
+  server: "server",
+  state: "leaving",
+} as const;
+
+const asked = {
+  kind: "admission_asked",
+  node: "node",
+  queue: "bookings",
+  ticket: 1,
+  priority: 0,
+  work: "booking",
+} as const;
+
+const answered = {
+  kind: "admission_answered",
+  ticket: 1,
+  refusal: "queue_full",
+} as const;
+
+const committed = {
+  kind: "change_committed",
+  change: "a",
+  document: "policy/menus",
+  version: 1,
+  replaced: 0,
+} as const;
+
+const told = {
+  kind: "change_answered",
+  operator: "operator",
+  change: "a",
+  document: "policy/menus",
+  result: "accepted",
+  version: 1,
+} as const;
+
+const inForce = {
+  kind: "version_in_force",
+  node: "node",
+  document: "policy/menus",
+  version: 2,
+} as const;
+
+const nodeState = (state: "started" | "ready" | "paused") =>
+  ({ kind: "node_changed", node: "node", state }) as const;
+
+const end = { kind: "session_ended" } as const;
+
+type Timed = SessionFact | readonly [number, SessionFact];
+
+function messages(invariant: Invariant, facts: readonly Timed[]): string[] {
+  const session = facts.map((fact) =>
+    "kind" in fact ? { ...fact, at: 0 } : { ...fact[1], at: fact[0] }
+  );
+  return invariant.check(session).map(({ message }) => message);
+}
+
+const whole: readonly Timed[] = [request, attempt, started, ended, response];
+
+// Guards against an invariant that reports what is allowed.
+test("a whole session breaks nothing", () => {
+  const session = [...whole, end];
+  expect(messages(new RetriesBounded(), session)).toEqual([]);
+  expect(messages(new CompleteResponses(), session)).toEqual([]);
+  expect(messages(new AccurateRejections(), session)).toEqual([]);
+  expect(messages(new AtMostOnce(), session)).toEqual([]);
+  expect(messages(new LeaversGetNoWork(), session)).toEqual([]);
+  expect(messages(new GracefulStops(), [leaving, ...session])).toEqual([]);
+});
+
+// Each test below guards against an invariant that overlooks broken sessions.
+test("retries and executions beyond the allowance are reported", () => {
+  const retry = { ...attempt, attempt: 2 };
+  const sessions = [
+    [...whole, retry, retry],
+    [...whole, started, started],
+  ];
+  expect(
+    sessions.flatMap((session) => messages(new RetriesBounded(), session)),
+  ).toEqual([
+    "sending 1 caused 2 retries, its allowance is 1",
+    "sending 1 ran 3 times at bookings, which had 1 first attempts",
+  ]);
+  expect(messages(new RetriesBounded(), [...whole, retry, started]))
+    .toEqual([]);
+});
+
+test("critical work that is shed before other work is reported", () => {
+  const low = { ...asked, ticket: 2, priority: 3, work: "list" } as const;
+  const admittedLow = { ...answered, ticket: 2, refusal: undefined } as const;
+  const invariant = new ImportanceRespected();
+  const past = "a booking was shed at node while a list was admitted";
+  expect(messages(invariant, [low, asked, answered, admittedLow]))
+    .toEqual([past]);
+  expect(messages(invariant, [asked, low, admittedLow, answered]))
+    .toEqual([past]);
+  expect(messages(invariant, [low, admittedLow, asked, answered])).toEqual([]);
+  const elsewhere = { ...low, queue: "menus" };
+  expect(messages(invariant, [elsewhere, asked, answered, admittedLow]))
+    .toEqual([]);
+});
+
+test("foreign, cut, doubled and missing answers are reported", () => {
+  const invariant = new CompleteResponses();
+  const bad = (fact: SessionFact) => messages(invariant, [request, fact]);
+  expect(bad({ ...response, answers: "booking 2" })).toHaveLength(1);
+  expect(bad({ ...response, bytes: 100 })).toHaveLength(1);
+  expect(bad({ ...response, caller: "other" })).toHaveLength(1);
+  expect(bad({ ...ended, storedBytes: 1, sentBytes: 2 })).toHaveLength(1);
+  expect(bad(end)).toHaveLength(1);
+  expect(messages(invariant, [request, response, response])).toHaveLength(1);
+  expect(bad({ ...response, result: "cut", bytes: 100 })).toEqual([]);
+});
+
+test("a wrong statement about a run is reported", () => {
+  const invariant = new AccurateRejections();
+  const rejected = { ...response, result: "rejected", run: "no" } as const;
+  const again = { ...request, sending: 2 };
+  expect(messages(invariant, [request, rejected, started])).toHaveLength(1);
+  expect(
+    messages(invariant, [request, started, again, { ...rejected, sending: 2 }]),
+  ).toHaveLength(1);
+  expect(messages(invariant, [request, response])).toHaveLength(1);
+  expect(messages(invariant, [request, rejected])).toEqual([]);
+});
+
+test("a second run of a booking is reported", () => {
+  const second = { ...started, execution: 2, server: "other" };
+  expect(messages(new AtMostOnce(), [...whole, second]))
+    .toEqual(["booking 1 ran 2 times, at server and other"]);
+  const list = { ...request, idempotent: true };
+  expect(messages(new AtMostOnce(), [list, started, second])).toEqual([]);
+});
+
+test("new work after a leave is reported", () => {
+  const invariant = new LeaversGetNoWork();
+  const at = (time: number) =>
+    messages(invariant, [[1_000, leaving], [time, started]]);
+  expect(at(4_000)).toEqual([]);
+  expect(at(4_001)).toEqual([
+    "server began booking 1 3001 ms after it began to leave",
+  ]);
+});
+
+test("a request that a planned stop interrupts is reported", () => {
+  const invariant = new GracefulStops();
+  const interrupted = { ...ended, result: "interrupted" } as const;
+  const killed = { ...leaving, state: "killed" } as const;
+  expect(messages(invariant, [started, leaving, interrupted])).toHaveLength(1);
+  expect(messages(invariant, [started, leaving, end])).toHaveLength(1);
+  expect(messages(invariant, [started, leaving, killed, interrupted]))
+    .toEqual([]);
+});
+
+test("late, reverted and forked configuration is reported", () => {
+  const invariant = new ConfigurationInForce();
+  const up = [nodeState("started"), nodeState("ready")];
+  const at = (time: number, ...facts: Timed[]) =>
+    messages(invariant, [...up, committed, ...facts, [time, end]]);
+  expect(at(8_000)).toEqual([]);
+  expect(at(8_001)).toHaveLength(1);
+  expect(at(8_001, nodeState("paused"))).toEqual([]);
+  expect(at(0, inForce, { ...inForce, version: 1 })).toHaveLength(1);
+  expect(at(0, { ...committed, change: "b", version: 2 })).toHaveLength(1);
+  expect(at(0, { ...told, version: 3 })).toHaveLength(1);
+  expect(at(0, { ...told, result: "conflict" })).toHaveLength(1);
+  expect(at(0, committed, told).slice(1)).toHaveLength(1);
+  expect(at(0, told)).toEqual([]);
+});
--- /dev/null
+++ b/packages/testing/invariants/leavers_get_no_work.ts
@@ -0,0 +1,28 @@
+import { Invariant, type Violation } from "./invariant.ts";
+import type { SessionEvent } from "./session_event.ts";
+
+/** Time after which a backend server that leaves receives no new work. */
+export const LEAVE_LIMIT_MS = 3_000;
+
+/** A backend server that leaves receives no new work after 3 s. */
+export class LeaversGetNoWork extends Invariant {
+  readonly name = "a leaving server gets no new work after 3 s";
+
+  check(session: readonly SessionEvent[]): readonly Violation[] {
+    const leftAt = new Map<string, number>();
+    return session.flatMap((event) => {
+      if (event.kind === "server_changed") {
+        if (event.state === "leaving") leftAt.set(event.server, event.at);
+        else leftAt.delete(event.server);
+      }
+      if (event.kind !== "execution_started") return [];
+      const since = event.at - (leftAt.get(event.server) ?? Infinity);
+      return since <= LEAVE_LIMIT_MS ? [] : [
+        this.violation(
+          event.at,
+          `${event.server} began ${event.identity} ${since} ms after it began to leave`,
+        ),
+      ];
+    });
+  }
+}
--- /dev/null
+++ b/packages/testing/invariants/retries_bounded.ts
@@ -0,0 +1,50 @@
+import { eventsOf, groupBy, Invariant, type Violation } from "./invariant.ts";
+import type { SessionEvent } from "./session_event.ts";
+
+/**
+ * Retries for one request are bounded over the whole call chain: no more than
+ * the root allowance, and no service runs more than its first attempts plus
+ * that allowance. A caller that sends a request again makes a new root.
+ */
+export class RetriesBounded extends Invariant {
+  readonly name = "retries are bounded over the call chain";
+
+  check(session: readonly SessionEvent[]): readonly Violation[] {
+    const attempts = groupBy(
+      eventsOf(session, "attempt_sent"),
+      ({ sending }) => sending,
+    );
+    const executions = groupBy(
+      eventsOf(session, "execution_started"),
+      ({ sending }) => sending,
+    );
+    return eventsOf(session, "request_sent").flatMap((request) => {
+      const { sending, allowance, at } = request;
+      const sent = attempts.get(sending) ?? [];
+      const retries = sent.filter(({ attempt }) => attempt > 1);
+      const found = retries.length <= allowance ? [] : [
+        this.violation(
+          retries[allowance]!.at,
+          `sending ${sending} caused ${retries.length} retries, its allowance is ${allowance}`,
+        ),
+      ];
+      const byService = groupBy(
+        executions.get(sending) ?? [],
+        ({ service }) => service,
+      );
+      for (const [service, runs] of byService) {
+        const first = sent.filter((each) =>
+          each.service === service && each.attempt === 1
+        ).length;
+        if (runs.length <= first + allowance) continue;
+        found.push(
+          this.violation(
+            at,
+            `sending ${sending} ran ${runs.length} times at ${service}, which had ${first} first attempts`,
+          ),
+        );
+      }
+      return found;
+    });
+  }
+}
