Record golden sessions of the real parts on a controlled clock

Cause: no test showed what callers, servers and operators see over a whole session. Change: nodes with the real ledgers, admission, leases, retries and configuration on a virtual clock, with small fakes for datagrams, calls, backend servers and the store. Broken ledgers, retries, bodies and answers are reported by the invariants. The stories show calls refused as organisation_limit that are the first ones of their organisation on a node.

--- /dev/null
+++ b/packages/testing/sessions/broken_variants_test.ts
@@ -0,0 +1,123 @@
+import { expect, test } from "vitest";
+import { PermitLedger } from "@oleanderdeck/idempotency";
+import { PerHopRetryPolicy } from "@oleanderdeck/retries";
+import { checkInvariants } from "../invariants/mod.ts";
+import {
+  type CallFault,
+  SessionFleet,
+  type SessionNodeVariant,
+  SessionParties,
+  type SessionPlace,
+  type SessionWorkName,
+} from "./mod.ts";
+
+/** Ledger that treats each request as the first one. */
+class ForgetfulLedger extends PermitLedger {
+  override begin(...request: Parameters<PermitLedger["begin"]>) {
+    return { ...super.begin(...request), action: "run" } as const;
+  }
+}
+
+function place(name: string, service: string, calls: string[]): SessionPlace {
+  return {
+    nodeId: name,
+    dataCentre: name.slice(0, 4),
+    server: { service, slots: 8, durationMs: 20, calls },
+  };
+}
+
+const PLACES = [
+  place("wa-a-1", "bookings", ["members"]),
+  place("wa-b-1", "bookings", ["members"]),
+  place("wa-a-2", "members", []),
+  place("wa-b-2", "members", []),
+  place("wa-c-1", "uploads", ["members", "members"]),
+  place("wa-c-2", "uploads", ["members", "members"]),
+];
+
+async function messages(
+  variant: SessionNodeVariant,
+  faults: readonly CallFault[],
+  work: SessionWorkName = "booking",
+): Promise<readonly string[]> {
+  const fleet = new SessionFleet({
+    deployment: "lunchtable",
+    places: PLACES,
+    seed: 7,
+    variant,
+  });
+  await fleet.start();
+  const parties = new SessionParties(fleet);
+  const node = "wa-c-1";
+  for (const work of ["club list", "office list"] as const) {
+    void parties.send({
+      caller: "volunteer",
+      node,
+      request: parties.prepare(work, node),
+    });
+  }
+  await fleet.run(1_000);
+  fleet.network.callFaults.push(...faults);
+  const request = parties.prepare(work, node);
+  const sheet = parties.prepare("allergen sheet", node);
+  void parties.send({ caller: "member", node, request });
+  await fleet.run(3_000);
+  void parties.send({ caller: "member", node: "wa-a-1", request });
+  await fleet.run(3_000);
+  void parties.send({
+    caller: "printer",
+    node,
+    request: sheet,
+    arrivingBytes: 5_000,
+  });
+  await fleet.run(12_000);
+  fleet.end();
+  return [
+    ...new Set(
+      checkInvariants(fleet.recorder.events).map(({ invariant }) => invariant),
+    ),
+  ];
+}
+
+const LOST: readonly CallFault[] = ["none", "lose_answer"];
+
+// Each test guards against invariants that hold for a broken system as well.
+test("the real parts break no invariant under the same faults", async () => {
+  expect(await messages({}, LOST)).toEqual([]);
+  expect(await messages({}, ["none", "cut_answer"])).toEqual([]);
+  expect(await messages({}, Array(12).fill("lose_answer"))).toEqual([]);
+});
+
+test("a ledger that forgets is reported", async () => {
+  const ledger = ({ nodeId, incarnation, clock }: {
+    readonly nodeId: string;
+    readonly incarnation: bigint;
+    readonly clock: ConstructorParameters<typeof PermitLedger>[0]["clock"];
+  }) => new ForgetfulLedger({ nodeId, incarnation, clock });
+  expect(await messages({ ledger }, ["lose_answer"]))
+    .toContain("non-idempotent requests run at most once");
+});
+
+test("retries per hop are reported", async () => {
+  const retryPolicy = new PerHopRetryPolicy(6, 1);
+  const faults: readonly CallFault[] = [
+    "none",
+    ...Array<CallFault>(12).fill("lose_answer"),
+  ];
+  const sheet = "allergen sheet";
+  expect(await messages({}, faults, sheet)).toEqual([]);
+  expect(await messages({ retryPolicy }, faults, sheet))
+    .toContain("retries are bounded over the call chain");
+});
+
+test("cut bodies that end cleanly are reported", async () => {
+  const name = "responses are complete and go to their callers";
+  expect(await messages({ endsCutBodies: true }, [])).toEqual([name]);
+  expect(await messages({ endsCutBodies: true }, ["none", "cut_answer"]))
+    .toEqual([name]);
+});
+
+test("lost answers that are reported as not run are noticed", async () => {
+  expect(await messages({ deniesLostRuns: true }, LOST))
+    .toContain("rejections state accurately what was run");
+});
--- /dev/null
+++ b/packages/testing/sessions/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * Recorded sessions of real components on a controlled clock, with small fakes
+ * for messages, calls, backend servers and the store.
+ *
+ * @module
+ */
+
+export * from "./session_call.ts";
+export * from "./session_fleet.ts";
+export * from "./session_network.ts";
+export * from "./session_node.ts";
+export * from "./session_parties.ts";
+export * from "./session_recorder.ts";
+export * from "./session_server.ts";
+export * from "./session_story.ts";
+export * from "./session_works.ts";
+export * from "./virtual_clock.ts";
--- /dev/null
+++ b/packages/testing/sessions/node_call.ts
@@ -0,0 +1,431 @@
+import type { AdmittedAttempt } from "@oleanderdeck/admission";
+import type {
+  PolicyView,
+  RequestRule,
+  ServicePolicy,
+} from "@oleanderdeck/agreement";
+import { DeckError } from "@oleanderdeck/errors";
+import type { Outcome, Permit } from "@oleanderdeck/idempotency";
+import { MemberState } from "@oleanderdeck/protocol";
+import { Allowance } from "@oleanderdeck/retries";
+import {
+  rejection,
+  type SessionAnswer,
+  type SessionCall,
+} from "./session_call.ts";
+import type { Reply } from "./session_network.ts";
+import type { SessionNode } from "./session_node.ts";
+
+/** Expected duration of an attempt, in milliseconds. */
+const EXPECTED_MS = 10;
+
+/** How an attempt ended. */
+type Attempted =
+  | { readonly answer: SessionAnswer; readonly error: undefined }
+  | {
+    readonly error: DeckError;
+    /** Whether another attempt may help. */
+    readonly retry: boolean;
+    /** Whether a serving node stated the error. */
+    readonly stated: boolean;
+  };
+
+/**
+ * One call at a node, over all attempts. Follows the same steps as the calls of
+ * the HTTP edge: permit, admission, attempt, retry.
+ */
+export class NodeCall {
+  readonly #node: SessionNode;
+  readonly #call: SessionCall;
+  readonly #deadline: number;
+  readonly #view: PolicyView;
+  readonly #shedKey: number;
+  #policy!: ServicePolicy;
+  #rule!: RequestRule;
+  #allowance: Allowance | undefined;
+  #permit: Permit | undefined;
+  #issuer: AdmittedAttempt | undefined;
+  #permitText: string | undefined;
+  #attempts = 0;
+  #mayHaveRun = false;
+
+  constructor(node: SessionNode, call: SessionCall) {
+    this.#node = node;
+    this.#call = call;
+    this.#deadline = node.clock.now() + call.timeoutMs;
+    this.#view = node.replica.view();
+    this.#shedKey = call.parent?.shedKey ?? call.sending * 37 % 128;
+  }
+
+  /** Runs the call to its end. */
+  async run(): Promise<SessionAnswer> {
+    const { organisation, service, method, path, mode, parent } = this.#call;
+    const node = this.#node;
+    if (!node.replica.isReady()) return rejection(new DeckError("not_ready"));
+    if (node.draining && parent === undefined) {
+      return rejection(new DeckError("draining"));
+    }
+    const policy = this.#view.service(service);
+    if (policy === undefined) {
+      return rejection(new DeckError("no_such_service"));
+    }
+    this.#policy = policy;
+    this.#rule = this.#view.rule({ organisation, service, method, path });
+    const limit = node.clock.sleep(this.#deadline - node.clock.now())
+      .then(() => "deadline" as const);
+    const work = this.#rule.idempotent || mode === "serve"
+      ? this.#attemptAll(limit)
+      : this.#runOnce(limit);
+    const answer = await work;
+    return mode === undefined || parent === undefined
+      ? answer
+      : { ...answer, ...this.#peerFields(parent.callId, parent.lentRetries) };
+  }
+
+  #peerFields(callId: Uint8Array, lent: number) {
+    return {
+      threshold: this.#node.admission.threshold(this.#call.service),
+      unusedRetries: Math.min(this.#node.allowances.close(callId), lent),
+    };
+  }
+
+  async #runOnce(limit: Promise<"deadline">): Promise<SessionAnswer> {
+    const { ledger } = this.#node;
+    const { permit, organisation, method, service, path } = this.#call;
+    this.#permitText = permit ?? ledger.issue();
+    const named = { permit: this.#permitText };
+    if (permit === undefined && this.#rule.permit === "required") {
+      return rejection(new DeckError("permit_required"), named);
+    }
+    const checked = ledger.check(this.#permitText);
+    if (checked.isLeft()) {
+      return rejection(checked.swap().unsafeCoerce(), named);
+    }
+    const parsed = checked.unsafeCoerce();
+    if (!ledger.isOwn(parsed)) {
+      const error = this.#findIssuer(parsed);
+      if (error !== undefined) return rejection(error, named);
+      return { ...await this.#attemptAll(limit), ...named };
+    }
+    const begin = ledger.begin(
+      parsed,
+      `${organisation} ${method} ${service}${path}`,
+    );
+    switch (begin.action) {
+      case "refuse":
+        return rejection(begin.error, named);
+      case "answer":
+        return { ...answerOf(begin.outcome), ...named };
+      case "join": {
+        const outcome = await Promise.race([
+          new Promise<Outcome>((resolve) => begin.onOutcome(resolve)),
+          limit,
+        ]);
+        return {
+          ...outcome === "deadline"
+            ? rejection(new DeckError("deadline_exceeded"))
+            : answerOf(outcome),
+          ...named,
+        };
+      }
+      case "run": {
+        this.#permit = parsed;
+        const answer = await this.#attemptAll(limit);
+        ledger.finish(parsed, outcomeOf(answer));
+        return { ...answer, ...named };
+      }
+    }
+  }
+
+  #findIssuer(permit: Permit): DeckError | undefined {
+    const member = this.#node.peer.find(permit.nodeId);
+    if (this.#call.mode !== undefined) {
+      return new DeckError("malformed_request");
+    }
+    if (
+      member === undefined || member.incarnation !== permit.incarnation ||
+      member.state === MemberState.DEAD || member.state === MemberState.LEFT
+    ) return new DeckError("outcome_unknown");
+    this.#issuer = {
+      target: {
+        kind: "forward",
+        nodeId: member.nodeId,
+        incarnation: member.incarnation,
+        address: member.callAddress,
+        fence: "",
+      },
+      finish: () => {},
+    };
+    return undefined;
+  }
+
+  async #attemptAll(limit: Promise<"deadline">): Promise<SessionAnswer> {
+    const { clock, retryBudget, retryPolicy } = this.#node;
+    const { organisation, mode } = this.#call;
+    let excluded: readonly string[] = [];
+    let failure: DeckError | undefined;
+    while (true) {
+      const admitted = this.#issuer ?? await this.#admit(excluded, limit);
+      if (admitted instanceof DeckError) {
+        if (failure !== undefined) this.#allowance?.giveBack(1);
+        return this.#reject(failure ?? admitted);
+      }
+      this.#allowance ??= this.#openAllowance();
+      if (++this.#attempts === 1) retryBudget.countFirst(organisation);
+      const result = await this.#attempt(admitted, limit);
+      if (result.error === undefined) return result.answer;
+      if (this.#issuer !== undefined) {
+        return this.#reject(
+          result.stated ? result.error : new DeckError("outcome_unknown"),
+        );
+      }
+      failure = result.error;
+      const delay = result.retry && mode !== "serve"
+        ? retryPolicy.delayMs({
+          kind: failure.kind,
+          run: failure.run,
+          idempotent: this.#rule.idempotent,
+          bodyResendable: this.#call.bodyBytes <= 65_536,
+          attempt: this.#attempts,
+          timeLeftMs: this.#deadline - clock.now(),
+          expectedDurationMs: EXPECTED_MS,
+        })
+        : undefined;
+      if (delay === undefined) return this.#reject(failure);
+      excluded = [...excluded, admitted.target.nodeId];
+      const allowance = this.#allowance;
+      if (allowance.remaining === 0 && allowance.recoverable) {
+        await allowance.recover(this.#node.uses.settlement);
+      }
+      if (!allowance.take()) return this.#reject(failure);
+      if (!retryBudget.take(organisation)) {
+        allowance.giveBack(1);
+        return this.#reject(failure);
+      }
+      await clock.sleep(delay);
+    }
+  }
+
+  async #admit(
+    excludedNodes: readonly string[],
+    limit: Promise<"deadline">,
+  ): Promise<AdmittedAttempt | DeckError> {
+    const { admission, nodeId, uses: { recorder } } = this.#node;
+    const { service, organisation, mode, parent, work } = this.#call;
+    const ticket = recorder.nextNumber();
+    const forwarded = mode === "serve";
+    const priority = parent?.priority ?? this.#rule.priority;
+    recorder.record({
+      kind: "admission_asked",
+      node: nodeId,
+      queue: forwarded ? `${service} forwarded` : service,
+      ticket,
+      priority,
+      work,
+    });
+    const withdrawal = new AbortController();
+    void limit.then(() => withdrawal.abort());
+    const answer = await admission.admit({
+      service,
+      organisation,
+      priority,
+      shedKey: this.#shedKey,
+      deadline: this.#deadline,
+      excludedNodes,
+      countsForLimit: !this.#call.child && this.#attempts === 0 && !forwarded,
+      forwarded,
+      callingService: mode === undefined ? parent?.service : undefined,
+    }, withdrawal.signal);
+    recorder.record({
+      kind: "admission_answered",
+      ticket,
+      refusal: answer.isLeft() ? answer.swap().unsafeCoerce().kind : undefined,
+    });
+    return answer.extract();
+  }
+
+  async #attempt(
+    admitted: AdmittedAttempt,
+    limit: Promise<"deadline">,
+  ): Promise<Attempted> {
+    const { clock, uses } = this.#node;
+    const { mode } = this.#call;
+    const { target } = admitted;
+    const allowance = this.#allowance!;
+    const serving = mode === "serve";
+    const lent = serving ? 0 : allowance.lend();
+    const callId = serving
+      ? this.#call.parent!.callId
+      : this.#node.nextCallId();
+    if (!serving && this.#issuer === undefined) {
+      uses.recorder.record({
+        kind: "attempt_sent",
+        node: this.#node.nodeId,
+        sending: this.#call.sending,
+        service: this.#call.service,
+        attempt: this.#attempts,
+      });
+    }
+    const startedAt = clock.now();
+    const progress = new AbortController();
+    const reply = await Promise.race([
+      this.#send(admitted, callId, lent),
+      clock.sleep(this.#policy.progressTimeoutMs, progress.signal)
+        .then(() => ({ state: "lost" }) as const),
+      limit,
+    ]);
+    progress.abort();
+    await clock.awake();
+    const result = this.#judge(reply, target.kind);
+    admitted.finish({
+      durationMs: clock.now() - startedAt,
+      failure: result.error?.kind,
+      threshold: reply !== "deadline" && reply.state === "answered"
+        ? reply.answer.threshold
+        : undefined,
+    });
+    if (reply !== "deadline" && reply.state === "answered") {
+      allowance.giveBack(Math.min(reply.answer.unusedRetries ?? 0, lent));
+    }
+    if (result.error === undefined) {
+      if (target.kind === "direct" && this.#call.parent !== undefined) {
+        const { nodeId, incarnation } = target;
+        allowance.keepLoan({ callId, nodeId, incarnation, amount: lent });
+      }
+    } else if (result.error.run === "no") {
+      const returned = reply !== "deadline" && reply.state === "answered" &&
+        reply.answer.unusedRetries !== undefined;
+      if (!returned) allowance.giveBack(lent);
+    } else this.#mayHaveRun = true;
+    return result;
+  }
+
+  #send(
+    { target }: AdmittedAttempt,
+    callId: Uint8Array,
+    lentRetries: number,
+  ): Promise<Reply<SessionAnswer>> {
+    const { clock, dataCentre, uses } = this.#node;
+    const call = this.#call;
+    const next: SessionCall = {
+      ...call,
+      bodyEndsCleanly: uses.variant.endsCutBodies === true,
+      timeoutMs: Math.max(1, this.#deadline - clock.now()),
+      attempt: this.#attempts,
+      permit: this.#issuer === undefined ? call.permit : this.#permitText,
+      mode: this.#issuer === undefined ? "serve" : "permit",
+      parent: call.mode === "serve" ? call.parent : {
+        callId,
+        lentRetries,
+        audience: target.nodeId,
+        audienceIncarnation: target.incarnation,
+        service: call.service,
+        priority: call.parent?.priority ?? this.#rule.priority,
+        shedKey: this.#shedKey,
+      },
+    };
+    if (target.kind === "forward") {
+      const node = uses.findNode(target.nodeId);
+      return uses.network.call(dataCentre, node, () => node!.handle(next));
+    }
+    const server = uses.findServer(target.nodeId);
+    return uses.network.call(
+      dataCentre,
+      server,
+      () => server!.run(next, target.fence),
+    );
+  }
+
+  #judge(
+    reply: Reply<SessionAnswer> | "deadline",
+    target: "direct" | "forward",
+  ): Attempted {
+    const failed = (error: DeckError, retry = true, stated = false) => ({
+      error,
+      retry,
+      stated,
+    });
+    if (reply === "deadline") {
+      return failed(new DeckError("deadline_exceeded"), false);
+    }
+    const { variant } = this.#node.uses;
+    switch (reply.state) {
+      case "refused":
+        return failed(new DeckError("connection_refused"));
+      case "lost":
+        return failed(
+          new DeckError(
+            "connection_lost",
+            variant.deniesLostRuns ? { run: "no" } : {},
+          ),
+        );
+      case "cut":
+        // The caller has the first part of the body already.
+        return {
+          error: undefined,
+          answer: this.#cutAnswer(variant.endsCutBodies !== true),
+        };
+      case "answered": {
+        const { error } = reply.answer;
+        if (error === undefined) return { error, answer: reply.answer };
+        return failed(error, true, target === "forward");
+      }
+    }
+  }
+
+  #cutAnswer(cut: boolean): SessionAnswer {
+    return {
+      error: undefined,
+      run: "yes",
+      answers: this.#call.identity,
+      bytes: 100,
+      wholeBytes: 200 + this.#call.sending,
+      cut,
+    };
+  }
+
+  #reject(last: DeckError): SessionAnswer {
+    const error = this.#mayHaveRun && last.run === "no" &&
+        !this.#node.uses.variant.deniesLostRuns
+      ? new DeckError(last.kind, { run: "unknown" })
+      : last;
+    return rejection(error);
+  }
+
+  #openAllowance(): Allowance {
+    const { parent } = this.#call;
+    const node = this.#node;
+    const mine = parent === undefined ||
+      parent.audience === node.nodeId &&
+        parent.audienceIncarnation === node.incarnation;
+    if (!mine) return new Allowance(0);
+    return node.retryPolicy.allowance({
+      policyRetries: this.#policy.retries,
+      requestedRetries: undefined,
+      parent,
+    });
+  }
+}
+
+function answerOf(outcome: Outcome): SessionAnswer {
+  if (outcome.state === "not_run") return rejection(outcome.error);
+  if (outcome.state === "unknown") {
+    return rejection(new DeckError("outcome_unknown"));
+  }
+  if (outcome.answer === undefined) {
+    return rejection(new DeckError("already_run"));
+  }
+  return JSON.parse(Buffer.from(outcome.answer.body).toString());
+}
+
+/** Outcome for the ledger; the whole answer is kept as its body. */
+function outcomeOf(answer: SessionAnswer): Outcome {
+  if (answer.error !== undefined) {
+    return answer.run === "no"
+      ? { state: "not_run", error: answer.error }
+      : { state: "unknown" };
+  }
+  if (answer.cut) return { state: "unknown" };
+  const body = Buffer.from(JSON.stringify(answer));
+  return { state: "answered", answer: { status: 200, headers: [], body } };
+}
--- /dev/null
+++ b/packages/testing/sessions/recording_store.ts
@@ -0,0 +1,115 @@
+import type { Either } from "purify-ts";
+import {
+  decodeStoredDocument,
+  encodeStoredDocument,
+  hashContent,
+} from "@oleanderdeck/configuration";
+import type { DeckError } from "@oleanderdeck/errors";
+import {
+  MemoryStore,
+  type PutOptions,
+  Store,
+  type StoredObject,
+  type StoreFaults,
+  type StoreListing,
+  type WatchOptions,
+} from "@oleanderdeck/store";
+import type { SessionRecorder } from "./session_recorder.ts";
+import type { VirtualClock } from "./virtual_clock.ts";
+
+/** Store in memory that records committed changes and outages. */
+export class RecordingStore extends Store {
+  readonly #store: MemoryStore;
+  readonly #recorder: SessionRecorder;
+  #lastWrite: Promise<unknown> = Promise.resolve();
+
+  constructor(clock: VirtualClock, recorder: SessionRecorder) {
+    super();
+    this.#store = new MemoryStore({ clock });
+    this.#recorder = recorder;
+  }
+
+  /** Stores a document that exists before the session. */
+  async seed(name: string, content: string): Promise<void> {
+    const change = {
+      changeId: `start of ${name}`,
+      replacedVersion: 0,
+      contentHash: hashContent(content, false),
+    };
+    const value = encodeStoredDocument({ content, deleted: false }, [change]);
+    await this.put(name, value, { expectedVersion: 0 });
+  }
+
+  /** Switches faults of the store. */
+  setFaults(faults: Partial<StoreFaults>): void {
+    const before = this.#store.faults().outage;
+    this.#store.setFaults(faults);
+    const after = this.#store.faults().outage;
+    if (before === after) return;
+    this.#recorder.record({
+      kind: "store_changed",
+      state: after === "none" ? "available" : "unavailable",
+    });
+  }
+
+  override get(name: string): Promise<Either<DeckError, StoredObject>> {
+    return this.#store.get(name);
+  }
+
+  override list(prefix: string): Promise<Either<DeckError, StoreListing>> {
+    return this.#store.list(prefix);
+  }
+
+  // Writes run one after the other, so that the revision after a write whose
+  // answer was lost is the version that it wrote.
+  override put(
+    name: string,
+    value: string,
+    options: PutOptions,
+  ): Promise<Either<DeckError, StoredObject>> {
+    const written = this.#lastWrite.then(async () => {
+      const answer = await this.#store.put(name, value, options);
+      const committed = answer.isRight() ||
+        answer.swap().unsafeCoerce().run === "unknown";
+      if (committed) this.#record(name, value, options.expectedVersion);
+      return answer;
+    });
+    this.#lastWrite = written;
+    return written;
+  }
+
+  override delete(
+    name: string,
+    options: PutOptions,
+  ): Promise<Either<DeckError, StoredObject>> {
+    return this.#store.delete(name, options);
+  }
+
+  override watch(
+    prefix: string,
+    options: WatchOptions,
+  ): Promise<Either<DeckError, StoreListing>> {
+    return this.#store.watch(prefix, options);
+  }
+
+  override close(): Promise<void> {
+    return this.#store.close();
+  }
+
+  #record(name: string, value: string, replaced: number): void {
+    const version = this.#store.revision();
+    const stored = decodeStoredDocument({
+      name,
+      version,
+      value,
+      deleted: false,
+    });
+    this.#recorder.record({
+      kind: "change_committed",
+      change: stored!.copy.changeId,
+      document: name,
+      version,
+      replaced,
+    });
+  }
+}
--- /dev/null
+++ b/packages/testing/sessions/session_node.ts
@@ -0,0 +1,228 @@
+import { create } from "@bufbuild/protobuf";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { CapacityAdmission } from "@oleanderdeck/admission";
+import {
+  ConfigurationReplica,
+  ConfigurationService,
+  type DocumentPeer,
+} from "@oleanderdeck/configuration";
+import { type CompiledPolicy, compilePolicy } from "@oleanderdeck/agreement";
+import { PermitLedger } from "@oleanderdeck/idempotency";
+import { MemberSchema, MemberState } from "@oleanderdeck/protocol";
+import {
+  AllowanceLedger,
+  type AllowanceSettlement,
+  ChainRetryPolicy,
+  RetryBudget,
+  type RetryPolicy,
+} from "@oleanderdeck/retries";
+import type { Store } from "@oleanderdeck/store";
+import type { SessionAnswer, SessionCall } from "./session_call.ts";
+import { NodeCall } from "./node_call.ts";
+import type { CallReceiver, SessionNetwork } from "./session_network.ts";
+import { SessionPeer } from "./session_peer.ts";
+import type { SessionRecorder } from "./session_recorder.ts";
+import { REGISTRATION_TERM_MS, type SessionServer } from "./session_server.ts";
+import { ProcessClock, type VirtualClock } from "./virtual_clock.ts";
+
+/** Time between two looks whether the configuration is loaded, in ms. */
+const READY_CHECK_MS = 50;
+
+/** Parts of a node that a test replaces by broken ones. */
+export interface SessionNodeVariant {
+  readonly ledger?: (node: SessionNode) => PermitLedger;
+  readonly retryPolicy?: RetryPolicy;
+  /** Whether bodies that were cut end like whole ones. */
+  readonly endsCutBodies?: boolean;
+  /** Whether a lost answer is reported as not run. */
+  readonly deniesLostRuns?: boolean;
+}
+
+/** What the nodes of a session share. */
+export interface SessionNodeUses {
+  readonly clock: VirtualClock;
+  readonly recorder: SessionRecorder;
+  readonly network: SessionNetwork;
+  readonly store: Store;
+  readonly documents: DocumentPeer;
+  readonly settlement: AllowanceSettlement;
+  readonly variant: SessionNodeVariant;
+  readonly seed: number;
+  /** Node by id, ended ones included. */
+  readonly findNode: (nodeId: string) => SessionNode | undefined;
+  /** Backend server beside a node, ended ones included. */
+  readonly findServer: (nodeId: string) => SessionServer | undefined;
+}
+
+/**
+ * One run of a node: the real ledgers, admission, leases and configuration, with
+ * a call path that stands in for the HTTP edge.
+ */
+export class SessionNode implements CallReceiver {
+  readonly nodeId: string;
+  readonly dataCentre: string;
+  readonly incarnation: bigint;
+  readonly uses: SessionNodeUses;
+  readonly clock: ProcessClock;
+  readonly killed: Promise<void>;
+  readonly peer: SessionPeer;
+  readonly replica: ConfigurationReplica;
+  readonly configuration: ConfigurationService;
+  readonly admission: CapacityAdmission;
+  readonly ledger: PermitLedger;
+  readonly allowances: AllowanceLedger;
+  readonly retryPolicy: RetryPolicy;
+  readonly retryBudget: RetryBudget;
+  /** Whether root calls are refused because of a planned stop. */
+  draining = false;
+  #calls = 0n;
+  #registeredAt = -Infinity;
+  #resolveKilled = () => {};
+
+  constructor(
+    place: {
+      readonly nodeId: string;
+      readonly dataCentre: string;
+      readonly incarnation: bigint;
+    },
+    uses: SessionNodeUses,
+  ) {
+    const { nodeId, dataCentre, incarnation } = place;
+    this.nodeId = nodeId;
+    this.dataCentre = dataCentre;
+    this.incarnation = incarnation;
+    this.uses = uses;
+    this.killed = new Promise((resolve) => this.#resolveKilled = resolve);
+    const clock = new ProcessClock(uses.clock);
+    this.clock = clock;
+    const record = create(MemberSchema, {
+      nodeId,
+      incarnation,
+      dataCentre,
+      state: MemberState.ALIVE,
+      callAddress: `${nodeId}:1`,
+    });
+    this.peer = new SessionPeer(uses.network, record, clock);
+    const { channel } = this.peer;
+    const random = (part: number) =>
+      xoroshiro128plus(uses.seed * 7_919 + Number(incarnation) * 31 + part);
+    this.replica = new ConfigurationReplica({ compile: compiler() });
+    this.replica.onChange(({ name }) => this.#recordInForce(name));
+    this.configuration = new ConfigurationService({
+      replica: this.replica,
+      store: uses.store,
+      members: this.peer,
+      channel,
+      peer: uses.documents,
+      clock,
+      random: random(1),
+    });
+    this.admission = new CapacityAdmission({
+      members: this.peer,
+      channel,
+      clock,
+      random: random(2),
+      policies: () => this.replica.view(),
+    });
+    this.ledger = uses.variant.ledger?.(this) ??
+      new PermitLedger({ nodeId, incarnation, clock });
+    this.allowances = new AllowanceLedger(clock);
+    const backoff = random(3);
+    this.retryPolicy = uses.variant.retryPolicy ??
+      new ChainRetryPolicy(this.allowances, () => uniformFloat64(backoff));
+    this.retryBudget = new RetryBudget(clock);
+    this.record("started");
+    uses.network.join(this.peer);
+    this.configuration.start();
+    void this.#watchReadiness();
+    void this.#expireRegistration();
+  }
+
+  /** Runs a call that arrived at this node. */
+  handle(call: SessionCall): Promise<SessionAnswer> {
+    return new NodeCall(this, call).run();
+  }
+
+  /** Identity for the next attempt of a call. */
+  nextCallId(): Uint8Array {
+    const id = Buffer.alloc(16);
+    id.writeBigUInt64BE(this.incarnation, 0);
+    id.writeBigUInt64BE(++this.#calls, 8);
+    return id;
+  }
+
+  /** Takes the registration of the backend server. */
+  register(server: SessionServer, state: "serving" | "draining"): void {
+    const { service, slots, warmUpMs } = server.options;
+    this.#registeredAt = this.clock.now();
+    this.admission.setWorker({
+      service,
+      address: `${server.name}:8080`,
+      slots,
+      connectionLimit: slots * 8,
+      warmUpMs: warmUpMs ?? 0,
+      state,
+    });
+  }
+
+  /** Stops the process for a time. */
+  pause(milliseconds: number): void {
+    if (!this.clock.alive) return;
+    this.record("paused");
+    this.clock.pause(milliseconds);
+    this.clock.run(() => this.record("resumed"));
+  }
+
+  /** Ends the process; its memory is lost. */
+  kill(): void {
+    if (!this.clock.alive) return;
+    this.record("killed");
+    this.clock.kill();
+    this.#resolveKilled();
+    this.uses.network.leave(this.peer);
+  }
+
+  /** Records a change of the state of this node. */
+  record(
+    state: "started" | "ready" | "killed" | "paused" | "resumed",
+  ): void {
+    this.uses.recorder.record({
+      kind: "node_changed",
+      node: this.nodeId,
+      state,
+    });
+  }
+
+  #recordInForce(document: string): void {
+    this.uses.recorder.record({
+      kind: "version_in_force",
+      node: this.nodeId,
+      document,
+      version: this.replica.versionInForce(document),
+    });
+  }
+
+  async #watchReadiness(): Promise<void> {
+    while (!this.replica.isReady()) await this.clock.sleep(READY_CHECK_MS);
+    this.record("ready");
+  }
+
+  async #expireRegistration(): Promise<void> {
+    while (this.clock.alive) {
+      await this.clock.sleep(REGISTRATION_TERM_MS / 3);
+      if (this.clock.now() - this.#registeredAt >= REGISTRATION_TERM_MS) {
+        this.admission.setWorker(undefined);
+      }
+    }
+  }
+}
+
+type Compiler = ConstructorParameters<
+  typeof ConfigurationReplica
+>[0]["compile"];
+
+function compiler(): Compiler {
+  let previous: CompiledPolicy | undefined;
+  return (documents) => previous = compilePolicy(documents, previous);
+}
--- /dev/null
+++ b/packages/testing/sessions/session_parties.ts
@@ -0,0 +1,163 @@
+import type { SessionAnswer, SessionCall } from "./session_call.ts";
+import type { SessionFleet } from "./session_fleet.ts";
+import type { Reply } from "./session_network.ts";
+import { SESSION_WORKS, type SessionWorkName } from "./session_works.ts";
+
+/** Time beyond the request's own for which a caller waits, in milliseconds. */
+const CALLER_PATIENCE_MS = 500;
+
+/** Identity of a request, with which it is sent again. */
+export interface RequestIdentity {
+  readonly identity: string;
+  readonly work: SessionWorkName;
+  permit: string | undefined;
+}
+
+/** One sending of a request. */
+export interface Sending {
+  readonly caller: string;
+  readonly node: string;
+  readonly request: RequestIdentity;
+  /** Bytes after which the caller's connection breaks; all by default. */
+  readonly arrivingBytes?: number;
+}
+
+/** Callers and operators of a session. */
+export class SessionParties {
+  readonly #fleet: SessionFleet;
+  readonly #counts = new Map<string, number>();
+
+  /** @param fleet Fleet that the parties talk to. */
+  constructor(fleet: SessionFleet) {
+    this.#fleet = fleet;
+  }
+
+  /**
+   * Prepares a request. A non-idempotent one gets a permit from a node, as far
+   * as the node runs.
+   */
+  prepare(work: SessionWorkName, nodeId: string): RequestIdentity {
+    const number = (this.#counts.get(work) ?? 0) + 1;
+    this.#counts.set(work, number);
+    const node = this.#fleet.node(nodeId);
+    const permit = this.#isIdempotent(work) || !node.clock.alive
+      ? undefined
+      : node.ledger.issue();
+    return { identity: `${work} ${number}`, work, permit };
+  }
+
+  /** Sends a request, for the first time or again, and waits for the outcome. */
+  async send(sending: Sending): Promise<SessionAnswer | undefined> {
+    const { clock, network, recorder, policy } = this.#fleet;
+    const { caller, request, node: nodeId } = sending;
+    const work = SESSION_WORKS[request.work];
+    const number = recorder.nextNumber();
+    recorder.record({
+      kind: "request_sent",
+      caller,
+      sending: number,
+      identity: request.identity,
+      node: nodeId,
+      service: work.service,
+      work: request.work,
+      idempotent: this.#isIdempotent(request.work),
+      allowance: policy.service(work.service)!.retries,
+    });
+    const call: SessionCall = {
+      ...work,
+      sending: number,
+      identity: request.identity,
+      work: request.work,
+      permit: request.permit,
+      parent: undefined,
+      mode: undefined,
+      child: false,
+      attempt: 1,
+      arrivingBytes: sending.arrivingBytes ?? work.bodyBytes,
+      bodyEndsCleanly: false,
+    };
+    const node = this.#fleet.node(nodeId);
+    const reply = await Promise.race([
+      network.call(node.dataCentre, node, () => node.handle(call)),
+      clock.sleep(work.timeoutMs + CALLER_PATIENCE_MS)
+        .then(() => ({ state: "lost" }) as const),
+    ]);
+    const connected = call.arrivingBytes === call.bodyBytes;
+    this.#record(caller, number, connected ? reply : { state: "lost" });
+    return reply.state === "answered" ? reply.answer : undefined;
+  }
+
+  /** Asks a node for a change of a document; undefined if the node ended. */
+  async change(
+    change: {
+      readonly operator: string;
+      readonly node: string;
+      readonly identity: string;
+      readonly document: string;
+      readonly content: string;
+      readonly expectedVersion: number;
+    },
+  ): Promise<void> {
+    const { recorder } = this.#fleet;
+    const { operator, document, content, expectedVersion } = change;
+    const node = this.#fleet.node(change.node);
+    recorder.record({
+      kind: "change_asked",
+      operator,
+      node: change.node,
+      change: change.identity,
+      document,
+      expectedVersion,
+    });
+    if (!node.clock.alive) return;
+    const answer = await node.configuration.editor.apply(document, content, {
+      expectedVersion,
+      changeId: change.identity,
+    });
+    await node.clock.awake();
+    recorder.record({
+      kind: "change_answered",
+      operator,
+      change: change.identity,
+      document,
+      ...answer.caseOf<
+        { readonly result: "accepted" | "conflict"; readonly version?: number }
+      >({
+        Right: ({ version }) => ({ result: "accepted", version }),
+        Left: ({ kind }) => ({ result: kind as "conflict" }),
+      }),
+    });
+  }
+
+  #record(
+    caller: string,
+    sending: number,
+    reply: Reply<SessionAnswer>,
+  ): void {
+    const base = { kind: "response_received", caller, sending } as const;
+    const { recorder } = this.#fleet;
+    if (reply.state !== "answered") {
+      const result = reply.state === "cut" ? "cut" : "lost";
+      return recorder.record({ ...base, result });
+    }
+    const { error, run, answers, bytes, wholeBytes, cut } = reply.answer;
+    recorder.record(
+      error === undefined
+        ? {
+          ...base,
+          result: cut ? "cut" : "complete",
+          run,
+          answers,
+          bytes,
+          wholeBytes,
+        }
+        : { ...base, result: "rejected", error: error.kind, run },
+    );
+  }
+
+  #isIdempotent(name: SessionWorkName): boolean {
+    const { organisation, service, method, path } = SESSION_WORKS[name];
+    return this.#fleet.policy.rule({ organisation, service, method, path })
+      .idempotent;
+  }
+}
--- /dev/null
+++ b/packages/testing/sessions/session_peer.ts
@@ -0,0 +1,176 @@
+import { create } from "@bufbuild/protobuf";
+import {
+  MemberView,
+  PeerChannel,
+  type PeerMessage,
+  type PeerMessageCase,
+  type PeerMessageValue,
+} from "@oleanderdeck/membership";
+import {
+  AcknowledgementSchema,
+  type HeldConfiguration,
+  type Member,
+  MemberState,
+  PingSchema,
+  type Worker,
+  WorkerState,
+} from "@oleanderdeck/protocol";
+import type { SessionNetwork } from "./session_network.ts";
+import type { ProcessClock } from "./virtual_clock.ts";
+
+/** Time between two probes of a node, in milliseconds. */
+const PROBE_INTERVAL_MS = 1_000;
+
+type Handler = (value: never, sender: Member) => void;
+
+interface Known {
+  readonly record: Member;
+  readonly change: number;
+}
+
+/**
+ * A node as its peers see it, and what it knows about them. Records spread by
+ * gossip of the network; probes carry the state of the configuration.
+ */
+export class SessionPeer extends MemberView {
+  /** Sends and receives datagrams of this node. */
+  readonly channel: PeerChannel;
+  readonly clock: ProcessClock;
+  readonly #network: SessionNetwork;
+  readonly #known = new Map<string, Known>();
+  readonly #listeners = new Set<(member: Member) => void>();
+  readonly #handlers = new Map<string, Set<Handler>>();
+  #configuration: (() => HeldConfiguration) | undefined;
+  /** Record as the node tells it. */
+  record: Member;
+  /** Number of the present record; a higher one is newer. */
+  change: number;
+
+  constructor(network: SessionNetwork, record: Member, clock: ProcessClock) {
+    super();
+    this.#network = network;
+    this.record = record;
+    this.clock = clock;
+    this.change = Number(record.incarnation) * 1_000;
+    this.channel = new SessionChannel(network, this, this.#handlers);
+    this.channel.onMessage("ping", (_, sender) => {
+      this.channel.send(sender.nodeId, {
+        case: "acknowledgement",
+        value: create(AcknowledgementSchema, {
+          configuration: this.#configuration?.(),
+        }),
+      });
+    });
+    void this.#probe();
+  }
+
+  /** Takes the record of another node if it is newer. */
+  learn(record: Member, change: number): void {
+    if (record.nodeId === this.record.nodeId) return;
+    if ((this.#known.get(record.nodeId)?.change ?? -1) >= change) return;
+    this.clock.run(() => {
+      if ((this.#known.get(record.nodeId)?.change ?? -1) >= change) return;
+      this.#known.set(record.nodeId, { record, change });
+      for (const listener of [...this.#listeners]) listener(record);
+    });
+  }
+
+  /** Hands a datagram to the handlers of its kind. */
+  receive(message: PeerMessage, sender: Member): void {
+    for (const handler of [...this.#handlers.get(message.case) ?? []]) {
+      handler(message.value as never, sender);
+    }
+  }
+
+  override self(): Member {
+    return this.record;
+  }
+
+  override members(): readonly Member[] {
+    const others = [...this.#known.values()].map(({ record }) => record);
+    return [this.record, ...others];
+  }
+
+  override find(nodeId: string): Member | undefined {
+    return nodeId === this.record.nodeId
+      ? this.record
+      : this.#known.get(nodeId)?.record;
+  }
+
+  override servingMembers(service: string): readonly Member[] {
+    return this.members().filter(({ state, worker }) =>
+      state === MemberState.ALIVE && worker?.service === service &&
+      worker.state === WorkerState.SERVING
+    );
+  }
+
+  override roundTripMs(nodeId: string): number | undefined {
+    const member = this.find(nodeId);
+    return member &&
+      (member.dataCentre === this.record.dataCentre ? 1 : 8);
+  }
+
+  override onChange(listener: (member: Member) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  override setWorker(worker: Worker | undefined): void {
+    this.record = { ...this.record, worker };
+    this.change++;
+    for (const listener of [...this.#listeners]) listener(this.record);
+    this.#network.announce(this);
+  }
+
+  override setConfigurationSource(source: () => HeldConfiguration): void {
+    this.#configuration = source;
+  }
+
+  async #probe(): Promise<void> {
+    while (this.clock.alive) {
+      const jitter = 0.9 + this.#network.fraction() * 0.2;
+      await this.clock.sleep(PROBE_INTERVAL_MS * jitter);
+      const others = [...this.#known.values()].filter(({ record }) =>
+        record.state === MemberState.ALIVE
+      );
+      if (others.length === 0) continue;
+      const index = Math.floor(this.#network.fraction() * others.length);
+      this.channel.send(others[index]!.record.nodeId, {
+        case: "ping",
+        value: create(PingSchema, { configuration: this.#configuration?.() }),
+      });
+    }
+  }
+}
+
+class SessionChannel extends PeerChannel {
+  readonly #network: SessionNetwork;
+  readonly #peer: SessionPeer;
+  readonly #handlers: Map<string, Set<Handler>>;
+
+  constructor(
+    network: SessionNetwork,
+    peer: SessionPeer,
+    handlers: Map<string, Set<Handler>>,
+  ) {
+    super();
+    this.#network = network;
+    this.#peer = peer;
+    this.#handlers = handlers;
+  }
+
+  override send(nodeId: string, message: PeerMessage): boolean {
+    if (!this.#peer.clock.alive) return false;
+    return this.#network.deliver(this.#peer, nodeId, message);
+  }
+
+  override onMessage<Case extends PeerMessageCase>(
+    messageCase: Case,
+    handler: (message: PeerMessageValue<Case>, sender: Member) => void,
+  ): () => void {
+    const handlers = this.#handlers.get(messageCase) ?? new Set();
+    this.#handlers.set(messageCase, handlers);
+    handlers.add(handler as Handler);
+    return () => handlers.delete(handler as Handler);
+  }
+}
--- /dev/null
+++ b/packages/testing/sessions/session_story.ts
@@ -0,0 +1,136 @@
+import type { SessionEvent, SessionEventOf } from "../invariants/mod.ts";
+
+/** Prefix of the changes that stored the documents of the start. */
+const START_CHANGE = "start of ";
+
+/**
+ * Writes a session as one line per event in plain words, with the time in
+ * seconds. Events that only state the usual course are left out: immediate
+ * admissions, first attempts, and the documents of the start.
+ */
+export function tellSession(session: readonly SessionEvent[]): string {
+  const teller = new Teller();
+  const lines = session.flatMap((event) => {
+    const text = teller.tell(event);
+    if (text === undefined) return [];
+    return [`${(event.at / 1_000).toFixed(3).padStart(7)} s  ${text}`];
+  });
+  return lines.join("\n") + "\n";
+}
+
+class Teller {
+  readonly #requests = new Map<number, SessionEventOf<"request_sent">>();
+  readonly #seen = new Set<string>();
+  readonly #runs = new Map<number, SessionEventOf<"execution_started">>();
+  readonly #tickets = new Map<number, SessionEventOf<"admission_asked">>();
+  readonly #startVersions = new Set<string>();
+
+  tell(event: SessionEvent): string | undefined {
+    switch (event.kind) {
+      case "request_sent": {
+        this.#requests.set(event.sending, event);
+        const again = this.#seen.has(event.identity) ? " again" : "";
+        this.#seen.add(event.identity);
+        return `${event.caller} sends ${event.identity}${again} to ${event.node}`;
+      }
+      case "response_received":
+        return this.#tellResponse(event);
+      case "attempt_sent":
+        return event.attempt === 1
+          ? undefined
+          : `${event.node} tries ${event.service} again for ${
+            this.#name(event.sending)
+          }, attempt ${event.attempt}`;
+      case "execution_started": {
+        this.#runs.set(event.execution, event);
+        const what = event.root
+          ? event.identity
+          : `a call for ${event.identity}`;
+        return `${event.server} begins ${what}, attempt ${event.attempt}, fence ${event.fence}`;
+      }
+      case "execution_ended":
+        return this.#tellEnd(event);
+      case "admission_asked":
+        this.#tickets.set(event.ticket, event);
+        return undefined;
+      case "admission_answered":
+        return this.#tellAdmission(event);
+      case "server_changed":
+        return `${event.server} is ${event.state}`;
+      case "node_changed":
+        return `node ${event.node} is ${event.state.replace("_", " ")}`;
+      case "store_changed":
+        return `the store is ${event.state}`;
+      case "change_asked":
+        return `${event.operator} asks ${event.node} to change ${event.document} from version ${event.expectedVersion}: ${event.change}`;
+      case "change_answered":
+        return `${event.operator} is told that ${event.change} is ${
+          event.result === "accepted"
+            ? `accepted as version ${event.version}`
+            : `refused: ${event.result}`
+        }`;
+      case "change_committed": {
+        const { change, document, version } = event;
+        if (change.startsWith(START_CHANGE)) {
+          this.#startVersions.add(`${document} ${version}`);
+          return undefined;
+        }
+        return `the store holds ${document} version ${version}: ${change}`;
+      }
+      case "version_in_force": {
+        const { document, version, node } = event;
+        return this.#startVersions.has(`${document} ${version}`)
+          ? undefined
+          : `node ${node} has ${document} version ${version} in force`;
+      }
+      case "session_ended":
+        return "the session ends";
+    }
+  }
+
+  #tellResponse(event: SessionEventOf<"response_received">): string {
+    const name = this.#name(event.sending);
+    switch (event.result) {
+      case "complete":
+        return `${event.caller} gets the whole answer to ${name}, ${event.bytes} bytes`;
+      case "cut":
+        return `${event.caller} notices that the answer to ${name} is cut`;
+      case "lost":
+        return `${event.caller} gets no answer to ${name}`;
+      case "rejected":
+        return `${event.caller} gets ${event.error} for ${name}, run ${event.run}`;
+    }
+  }
+
+  #tellEnd(event: SessionEventOf<"execution_ended">): string {
+    const run = this.#runs.get(event.execution)!;
+    const what = run.root ? run.identity : `the call for ${run.identity}`;
+    switch (event.result) {
+      case "complete":
+        return event.storedBytes === undefined
+          ? `${event.server} ends ${what}`
+          : `${event.server} ends ${what} and stores ${event.storedBytes} of ${event.sentBytes} bytes`;
+      case "interrupted":
+        return `${event.server} is interrupted in ${what}`;
+      case "cut_body":
+        return `${event.server} discards the cut body of ${what}`;
+    }
+  }
+
+  #tellAdmission(
+    event: SessionEventOf<"admission_answered">,
+  ): string | undefined {
+    const { node, work, at } = this.#tickets.get(event.ticket)!;
+    if (event.refusal !== undefined) {
+      return `node ${node} refuses one ${work}: ${event.refusal}`;
+    }
+    const waited = Math.round(event.at - at);
+    return waited < 1
+      ? undefined
+      : `node ${node} admits one ${work} after ${waited} ms`;
+  }
+
+  #name(sending: number): string {
+    return this.#requests.get(sending)?.identity ?? `sending ${sending}`;
+  }
+}
