Let a call wait shortly for the rate of its organisation

Ruled out: a missing grant of a keeper, since all four had answered. Change: a call without a token waits at most 250 ms while the keepers are asked for more; few calls wait, the others are refused at once.

--- a/packages/admission/_rate_limits.ts
+++ b/packages/admission/_rate_limits.ts
@@ -40,14 +40,14 @@
   /**
    * Counts a root call.
    *
-   * @returns Whether the limit allows it; a promise only for the first calls of
-   * an organisation, before the keepers have answered.
+   * @returns Whether the limit allows it; a promise while the keepers are asked
+   * for the first grants or for more.
    */
   take(organisation: string): boolean | Promise<boolean> {
     if (this.#limit(organisation) === undefined) return true;
     const lease = this.#lease(organisation);
-    if (lease.ready) return lease.take();
-    return lease.whenReady().then(() => lease.take());
+    if (lease.ready) return lease.takeOrWait();
+    return lease.whenReady().then(() => lease.takeOrWait());
   }
 
   /** Calls per second that this node may make; undefined without a limit. */
--- a/packages/leases/rate_lease.ts
+++ b/packages/leases/rate_lease.ts
@@ -21,6 +21,19 @@
 /** Longest wait for the first grants of an organisation. */
 const FIRST_GRANT_MS = 250;
 
+/**
+ * Longest wait of a call for a token. It covers a request to the keepers and
+ * their answer, so that a node which begins to call is not refused while the
+ * organisation is below its limit.
+ */
+const TOKEN_WAIT_MS = 250;
+
+/** Time between two tries of a waiting call. */
+const TOKEN_CHECK_MS = 25;
+
+/** Calls that may wait at a node with a low rate. */
+const LEAST_WAITING_CALLS = 4;
+
 /** Options of {@linkcode RateLease}. */
 export interface RateLeaseOptions {
   readonly organisation: string;
@@ -65,6 +78,7 @@
   #lastCallAt: number;
   #ready = false;
   readonly #waiting: (() => void)[] = [];
+  #waitingCalls = 0;
 
   /** @param options Organisation and collaborators. */
   constructor(options: RateLeaseOptions) {
@@ -112,9 +126,40 @@
 
   /** Counts a call and takes a token for it. */
   take(): boolean {
-    const now = this.#options.clock.now();
-    this.#lastCallAt = now;
+    this.#lastCallAt = this.#options.clock.now();
     this.#arrived += 1;
+    return this.#takeToken();
+  }
+
+  /**
+   * Counts a call and takes a token for it, now or after a short wait in which
+   * the keepers are asked for more. Few calls wait; the others are refused at
+   * once, so that a caller above its limit gets its answer early.
+   */
+  takeOrWait(): boolean | Promise<boolean> {
+    if (this.take()) return true;
+    const places = Math.max(
+      LEAST_WAITING_CALLS,
+      this.callsPerSecond() * TOKEN_WAIT_MS / 1_000,
+    );
+    return this.#waitingCalls < places ? this.#waitForToken() : false;
+  }
+
+  async #waitForToken(): Promise<boolean> {
+    const { clock } = this.#options;
+    const end = clock.now() + TOKEN_WAIT_MS;
+    this.#waitingCalls += 1;
+    let taken = false;
+    while (!taken && clock.now() < end) {
+      await clock.sleep(TOKEN_CHECK_MS);
+      taken = this.#takeToken();
+    }
+    this.#waitingCalls -= 1;
+    return taken;
+  }
+
+  #takeToken(): boolean {
+    const now = this.#options.clock.now();
     if (this.#rankingVersion !== this.#options.ranking.version) {
       this.#refreshKeepers(now);
     }
--- a/packages/leases/rate_lease_test.ts
+++ b/packages/leases/rate_lease_test.ts
@@ -88,3 +88,44 @@
     expect(rate).toBeGreaterThanOrEqual(LIMIT * (1 - TOLERANCE));
   }
 });
+
+// Guards against the refusal of the first calls at a node while the organisation
+// is far below its limit.
+test("a node that begins to call is not refused", async () => {
+  const { nodes } = startNodes(6);
+  nodes[0]!.demand = 20;
+  await offer(nodes, 3_000);
+  const [, first, second] = nodes;
+  const results = Promise.all([
+    first!.lease.takeOrWait(),
+    first!.lease.takeOrWait(),
+    second!.lease.takeOrWait(),
+  ]);
+  await vi.advanceTimersByTimeAsync(250);
+  expect(await results).toEqual([true, true, true]);
+});
+
+// Guards against waiting calls that exceed the limit or pile up.
+test("waiting calls are few and stay within the limit", async () => {
+  const { nodes } = startNodes(2);
+  nodes[0]!.demand = 1_000;
+  await offer(nodes, 10_000);
+  let taken = 0;
+  let waiting = 0;
+  for (let elapsed = 0; elapsed < 2_000; elapsed += 10) {
+    for (let call = 0; call < 10; call++) {
+      const answer = nodes[0]!.lease.takeOrWait();
+      if (answer === true) taken += 1;
+      if (typeof answer === "boolean") continue;
+      waiting += 1;
+      void answer.then((allowed) => {
+        waiting -= 1;
+        if (allowed) taken += 1;
+      });
+    }
+    expect(waiting).toBeLessThanOrEqual(LIMIT / 4);
+    await vi.advanceTimersByTimeAsync(10);
+  }
+  expect(taken / 2).toBeLessThanOrEqual(LIMIT * (1 + TOLERANCE));
+  expect(taken / 2).toBeGreaterThanOrEqual(LIMIT * (1 - TOLERANCE));
+});
