Wait for the documents in the process tests

Cause: a call of the first test failed with 502 on a busy machine, because a node was ready before the last policy had reached it. Change: the test fleet waits until every node has the store's revision.

--- a/packages/daemon/_test_fleet.ts
+++ b/packages/daemon/_test_fleet.ts
@@ -86,6 +86,7 @@
       (await Promise.all(this.hosts.map((host) => this.isReady(host))))
         .every(Boolean) &&
       this.hosts.every(({ node }) =>
+        node.configurationVersion() === this.store.revision() &&
         node.members().filter(({ worker }) => worker !== undefined).length ===
           this.hosts.length
       )
--- a/packages/daemon/node.ts
+++ b/packages/daemon/node.ts
@@ -249,6 +249,11 @@
     this.#log.write("info", "node_stopped", { node: this.#settings.nodeId });
   }
 
+  /** Highest version of a document that the node has. */
+  configurationVersion(): number {
+    return this.#replica.highestVersion();
+  }
+
   /** Live members as this node knows them, itself included. */
   members(): readonly Member[] {
     return this.#membership.members().filter(({ state }) =>
