Compare configuration with peers from a complete version and test faults

Cause: a node that took a high version by news could lack older ones, and finding them meant naming all documents, about 40 bytes each, in every request. A peer that did not answer held up all pulls for a second. News was told in log2(n)+4 rounds although far fewer reach everybody. A document name of more than 900 bytes would have kept the rounds running without sending anything.

Change: the replica keeps the version up to which it is complete (store listing or equal digests); a comparison begins there and names all documents only when that finds nothing. Three pulls run at one time; news is told in 8 rounds; names of documents have at most 200 bytes. Nodes without a turn decide twice a second and read 8 times a second over the fleet while no contact is known.

--- a/packages/configuration/_fake_fleet.ts
+++ b/packages/configuration/_fake_fleet.ts
@@ -61,6 +61,7 @@
   setWorker = () => {};
 
   members(): readonly Member[] {
+    if (this.dead.size === 0) return this.fleet.members;
     return this.fleet.members.map((member) =>
       this.dead.has(member.nodeId)
         ? { ...member, state: MemberState.DEAD }
@@ -95,7 +96,7 @@
 }
 
 class FakeDocumentPeer extends DocumentPeer {
-  constructor(readonly fleet: FakeFleet) {
+  constructor(readonly own: Member, readonly fleet: FakeFleet) {
     super();
   }
 
@@ -103,7 +104,10 @@
     await this.fleet.clock.sleep(20);
     const node = this.fleet.nodes.get(member.nodeId);
     this.fleet.fetches++;
-    if (node === undefined || this.fleet.isLost()) {
+    if (
+      node === undefined || this.fleet.isLost() ||
+      !this.fleet.isReachable(this.own.nodeId, member.nodeId)
+    ) {
       return Left(new DeckError("connection_refused"));
     }
     return node.replica.isReady()
@@ -141,6 +145,8 @@
   /** Datagrams by kind of message. */
   readonly sent = new Map<string, number>();
   fetches = 0;
+  /** Tells whether a message between two nodes gets through. */
+  isReachable: (from: string, to: string) => boolean = () => true;
   readonly #random;
   #closed = false;
 
@@ -164,7 +170,7 @@
       store: this.store,
       members: view,
       channel,
-      peer: new FakeDocumentPeer(this),
+      peer: new FakeDocumentPeer(member, this),
       clock: this.clock,
       random: xoroshiro128plus(this.options.seed * 100_003 + index),
     });
@@ -195,7 +201,7 @@
       ? 2
       : 1;
     for (let copy = 0; copy < copies; copy++) {
-      if (this.isLost()) continue;
+      if (this.isLost() || !this.isReachable(sender.nodeId, nodeId)) continue;
       const delay = randomFraction(this.#random) *
         (this.options.longestDelayMs ?? 10);
       this.clock.schedule(delay, () => {
@@ -221,9 +227,9 @@
   async close(): Promise<void> {
     this.#closed = true;
     await this.store.close();
-    await Promise.all(
+    await this.clock.until(Promise.all(
       [...this.nodes.values()].map(({ service }) => service.close()),
-    );
+    ));
   }
 
   #startProbes({ member, view, channel }: FakeNode): void {
--- a/packages/configuration/_virtual_clock.ts
+++ b/packages/configuration/_virtual_clock.ts
@@ -1,5 +1,14 @@
 import { Clock } from "@oleanderdeck/settings";
 
+/** Longest virtual time to wait for a promise, in milliseconds. */
+const MAX_WAIT_MS = 120_000;
+
+/**
+ * Shortest time of a timer in milliseconds. A shorter one may leave the time as
+ * it is, so that a task that waits for a rounding error runs forever.
+ */
+const MIN_STEP_MS = 0.001;
+
 interface Timer {
   readonly at: number;
   readonly run: () => void;
@@ -20,7 +29,8 @@
 
   /** Runs a function after a time; returns a function that cancels it. */
   schedule(milliseconds: number, run: () => void): () => void {
-    const timer = { at: this.#now + milliseconds, run };
+    const at = this.#now + Math.max(milliseconds, MIN_STEP_MS);
+    const timer = { at, run };
     let low = 0;
     let high = this.#timers.length;
     while (low < high) {
@@ -61,13 +71,21 @@
     this.#now = end;
   }
 
-  /** Advances the time in steps until a promise is settled. */
+  /**
+   * Advances the time in steps until a promise is settled.
+   *
+   * @throws {Error} If it is not settled within {@linkcode MAX_WAIT_MS}.
+   */
   async until<Result>(promise: Promise<Result>): Promise<Result> {
     let settled = false;
     const mark = () => void (settled = true);
     promise.then(mark, mark);
     await settle();
-    while (!settled) await this.advance(10);
+    const end = this.#now + MAX_WAIT_MS;
+    while (!settled) {
+      if (this.#now > end) throw new Error("The promise is not settled");
+      await this.advance(10);
+    }
     return promise;
   }
 }
--- a/packages/configuration/configuration_replica.ts
+++ b/packages/configuration/configuration_replica.ts
@@ -37,6 +37,7 @@
   #view: PolicyView;
   #highestVersion = 0;
   #heardVersion = 0;
+  #completeVersion = 0;
   #digest = 0n;
   #loaded = false;
   #ready = false;
@@ -93,6 +94,20 @@
     if (version > this.#heardVersion) this.#heardVersion = version;
   }
 
+  /**
+   * Version up to which this node held all documents that the store, or a peer
+   * with the same digest, had at that time. A comparison with a peer begins
+   * there, so that it need not name all documents.
+   */
+  completeVersion(): number {
+    return this.#completeVersion;
+  }
+
+  /** Notes that all documents up to a version are held. */
+  markComplete(version: number): void {
+    if (version > this.#completeVersion) this.#completeVersion = version;
+  }
+
   /**
    * Notes that all documents were read from the store or from peers. The
    * replica is ready from then on, or as soon as it reaches the highest version
@@ -117,7 +132,7 @@
     const taken = copies.filter((copy) => this.#take(copy));
     this.#updateReady();
     for (const copy of taken) {
-      for (const listener of this.#listeners) listener(copy);
+      for (const listener of this.#listeners) this.#notify(listener, copy);
     }
     return taken.length;
   }
@@ -127,6 +142,22 @@
     return () => this.#listeners.delete(listener);
   }
 
+  /** An error of one listener must not stop the task that took the document. */
+  #notify(
+    listener: (copy: DocumentVersionCopy) => void,
+    copy: DocumentVersionCopy,
+  ): void {
+    try {
+      listener(copy);
+    } catch (error) {
+      this.#options.log?.write("error", "document_listener_failed", {
+        name: copy.name,
+        version: copy.version,
+        error: error instanceof Error ? error.message : String(error),
+      });
+    }
+  }
+
   #take(copy: DocumentVersionCopy): boolean {
     const held = this.#held.get(copy.name);
     if (!isDocumentName(copy.name) || copy.version <= (held?.version ?? 0)) {
--- a/packages/configuration/configuration_service.ts
+++ b/packages/configuration/configuration_service.ts
@@ -59,6 +59,11 @@
     ]);
   }
 
+  /** Whether it is this node's turn to watch the store. */
+  isReader(): boolean {
+    return this.#reader.isTurn();
+  }
+
   /** Counts the live members by the version of a document in force. */
   countVersions(name: string): Promise<RolloutReport> {
     return this.#rollout.count(name);
--- a/packages/configuration/dissemination.ts
+++ b/packages/configuration/dissemination.ts
@@ -39,11 +39,11 @@
 export const NEWS_FAN_OUT = 2;
 
 /**
- * Rounds in which a version is told, beyond the binary logarithm of the number
- * of members. Two peers a round over at least six rounds leave fewer than one
- * member in 100,000 without the news at 5% loss; probes reach those.
+ * Rounds in which a node tells a version. Each member is told about 15 times
+ * when all members tell it to two others in eight rounds at a loss of 5 in 100,
+ * so hardly any member hears nothing; probes reach those.
  */
-export const EXTRA_ROUNDS = 4;
+export const NEWS_ROUNDS = 8;
 
 /** Greatest estimated size of the versions in one datagram, in bytes. */
 export const MAX_NEWS_BYTES = 900;
@@ -134,10 +134,9 @@
         value: create(NewsSchema, { documents }),
       });
     }
-    const rounds = Math.ceil(Math.log2(live.length + 1)) + EXTRA_ROUNDS;
     for (const [name, rumour] of told) {
       rumour.rounds++;
-      if (rumour.rounds >= rounds) this.#rumours.delete(name);
+      if (rumour.rounds >= NEWS_ROUNDS) this.#rumours.delete(name);
     }
   }
 
@@ -177,8 +176,10 @@
     const { replica, contact } = this.#options;
     contact.hear(held.storeContactAgeMilliseconds);
     replica.hear(Number(held.version));
-    if (held.digest !== replica.digest()) {
-      this.puller.reconcile(sender, Number(held.version));
+    if (held.digest === replica.digest()) {
+      replica.markComplete(replica.highestVersion());
+    } else {
+      this.puller.reconcile(sender, held);
     }
   }
 }
--- a/packages/configuration/document_puller.ts
+++ b/packages/configuration/document_puller.ts
@@ -1,12 +1,12 @@
 import { type Either, Left } from "purify-ts";
 import { DeckError } from "@oleanderdeck/errors";
 import type { EventLog } from "@oleanderdeck/observability";
-import type { Member } from "@oleanderdeck/protocol";
+import type { HeldConfiguration, Member } from "@oleanderdeck/protocol";
 import type { Clock } from "@oleanderdeck/settings";
 import type { ConfigurationReplica } from "./configuration_replica.ts";
 import type { DocumentPeer, DocumentRequest } from "./document_peer.ts";
 import type { DocumentVersionCopy } from "./document_replica.ts";
-import { WakeUp } from "./wake_up.ts";
+import { untilAborted, WakeUp } from "./wake_up.ts";
 
 /** Options of {@linkcode DocumentPuller}. */
 export interface DocumentPullerOptions {
@@ -17,7 +17,13 @@
 }
 
 /** Time for one request to a peer, in milliseconds. */
-export const PULL_TIMEOUT_MS = 1_000;
+export const PULL_TIMEOUT_MS = 2_000;
+
+/**
+ * Number of requests at one time, so that a peer that does not answer holds up
+ * only a part of the work.
+ */
+export const CONCURRENT_PULLS = 3;
 
 /** Greatest number of documents that are wanted at one time. */
 export const MAX_WANTED = 4_096;
@@ -28,57 +34,66 @@
 /** Greatest number of names in one request. */
 const MAX_NAMES = 64;
 
-/** Greatest number of pages of one comparison with a peer. */
+/** Greatest number of answers of one comparison with a peer. */
 const MAX_PAGES = 1_000;
 
 /**
- * Time between two comparisons with peers that hold a higher version, in
- * milliseconds. It leaves time for the news, which costs less, to arrive first.
+ * Time from a probe with a higher version to the comparison, in milliseconds.
+ * It leaves time for the news, which costs less, to arrive first.
  */
-export const CATCH_UP_INTERVAL_MS = 500;
+export const BEHIND_DELAY_MS = 500;
 
 /**
- * Time between two comparisons of all versions, in milliseconds. Such a request
- * has the versions of all documents, about 40 bytes each.
+ * Time from a probe with another digest but no higher version to the
+ * comparison, in milliseconds. The peer is mostly the one that is behind.
+ */
+export const DIFFERENCE_DELAY_MS = 3_000;
+
+/**
+ * Time between two comparisons of all versions, in milliseconds, doubled after
+ * each one that finds nothing up to {@linkcode MAX_FULL_COMPARE_INTERVAL_MS}.
+ * Such a request has the versions of all documents, about 40 bytes each.
  */
 export const FULL_COMPARE_INTERVAL_MS = 10_000;
 
+/** Longest time between two comparisons of all versions, in milliseconds. */
+export const MAX_FULL_COMPARE_INTERVAL_MS = 320_000;
+
 interface Wanted {
-  version: number;
+  readonly version: number;
   /** Peers that hold the version, the latest last. */
   readonly sources: Member[];
+  isPulled: boolean;
 }
 
 interface Difference {
   readonly peer: Member;
-  readonly version: number;
+  readonly held: HeldConfiguration;
+  /** Time of the comparison. */
+  readonly at: number;
 }
 
-/** Pulls documents from peers that told of them, one request at a time. */
+/** Pulls documents from peers that told of them. */
 export class DocumentPuller {
   readonly #options: DocumentPullerOptions;
   readonly #wanted = new Map<string, Wanted>();
-  #difference: Difference | undefined;
-  #catchUpAt: number;
-  #fullCompareAt: number;
   readonly #work = new WakeUp();
+  #difference: Difference | undefined;
+  #fullCompareAt = -Infinity;
+  #fullCompareIntervalMs = FULL_COMPARE_INTERVAL_MS;
 
   /** @param options The replica and the peers. */
   constructor(options: DocumentPullerOptions) {
     this.#options = options;
-    const now = options.clock.now();
-    this.#catchUpAt = now;
-    this.#fullCompareAt = now;
   }
 
   /** Notes that a peer holds a version of a document. */
   want(name: string, version: number, source: Member): void {
-    const held = this.#options.replica.find(name)?.version ?? 0;
-    if (version <= held) return;
+    if (version <= this.#heldVersion(name)) return;
     const wanted = this.#wanted.get(name);
     if (wanted === undefined || wanted.version < version) {
       if (wanted === undefined && this.#wanted.size >= MAX_WANTED) return;
-      this.#wanted.set(name, { version, sources: [source] });
+      this.#wanted.set(name, { version, sources: [source], isPulled: false });
       this.#work.wake();
     } else if (
       wanted.version === version && wanted.sources.length < MAX_SOURCES
@@ -87,38 +102,26 @@
     }
   }
 
-  /**
-   * Notes that a peer holds other versions than this node.
-   *
-   * @param peer The peer.
-   * @param version Highest version that the peer holds.
-   */
-  reconcile(peer: Member, version: number): void {
+  /** Notes that a peer holds other versions than this node. */
+  reconcile(peer: Member, held: HeldConfiguration): void {
     const { replica, clock } = this.#options;
-    const due = version > replica.highestVersion()
-      ? this.#catchUpAt
-      : this.#fullCompareAt;
-    if (clock.now() < due) return;
-    if (this.#difference === undefined || this.#difference.version < version) {
-      this.#difference = { peer, version };
-      this.#work.wake();
-    }
+    const isBehind = Number(held.version) > replica.highestVersion();
+    const delay = isBehind ? BEHIND_DELAY_MS : DIFFERENCE_DELAY_MS;
+    const at = clock.now() + delay;
+    if (this.#difference !== undefined && this.#difference.at <= at) return;
+    this.#difference = { peer, held, at };
+    this.#work.wake();
   }
 
   /** Pulls until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock } = this.#options;
-    while (!signal.aborted) {
-      if (this.#wanted.size > 0) {
-        await this.#pullWanted();
-      } else if (this.#difference !== undefined) {
-        const difference = this.#difference;
-        this.#difference = undefined;
-        await this.#compare(difference);
-      } else {
-        await this.#work.wait(clock, { milliseconds: IDLE_MS, signal });
-      }
-    }
+    await Promise.all([
+      this.#runComparisons(signal),
+      ...Array.from(
+        { length: CONCURRENT_PULLS },
+        () => this.#runPulls(signal),
+      ),
+    ]);
   }
 
   /**
@@ -127,72 +130,113 @@
    * @returns Whether the peer answered.
    */
   async pullAll(peer: Member): Promise<boolean> {
-    const { replica } = this.#options;
-    for (let page = 0; page < MAX_PAGES; page++) {
-      const held = replica.documents().map(({ name, version }) => ({
-        name,
-        version,
-      }));
-      const answer = await this.#fetch(peer, { held, names: [] });
-      if (answer.isLeft()) return false;
-      if (replica.acceptAll(answer.unsafeCoerce()) === 0) return true;
+    return await this.#pullNewer(peer, 0) !== undefined;
+  }
+
+  async #runPulls(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    while (!signal.aborted) {
+      const next = [...this.#wanted.values()].find(({ isPulled }) => !isPulled);
+      if (next === undefined) {
+        await this.#work.wait(clock, { milliseconds: IDLE_MS, signal });
+      } else {
+        const pulled = this.#pullWanted(next.sources.at(-1)!);
+        await untilAborted(pulled, signal);
+      }
+    }
+  }
+
+  async #runComparisons(signal: AbortSignal): Promise<void> {
+    const { clock, replica } = this.#options;
+    while (!signal.aborted) {
+      const difference = this.#difference;
+      const wait = (difference?.at ?? Infinity) - clock.now();
+      if (difference === undefined || wait > 0) {
+        const milliseconds = Math.min(wait, IDLE_MS);
+        await this.#work.wait(clock, { milliseconds, signal });
+        continue;
+      }
+      if (difference.held.digest !== replica.digest()) {
+        await untilAborted(this.#compare(difference.peer), signal);
+      }
+      this.#difference = undefined;
     }
-    return false;
   }
 
-  async #pullWanted(): Promise<void> {
+  /** Pulls from a peer what it holds of the wanted documents. */
+  async #pullWanted(source: Member): Promise<void> {
     const { replica } = this.#options;
-    const [first] = this.#wanted.values();
-    const source = first!.sources.at(-1)!;
+    const isSource = ({ nodeId }: Member) => nodeId === source.nodeId;
     const batch = [...this.#wanted]
-      .filter(([, { sources }]) =>
-        sources.some(({ nodeId }) => nodeId === source.nodeId)
+      .filter(([, { sources, isPulled }]) =>
+        !isPulled && sources.some(isSource)
       )
       .slice(0, MAX_NAMES);
-    const answer = await this.#fetch(source, {
-      held: batch.map(([name]) => ({
-        name,
-        version: replica.find(name)?.version ?? 0,
-      })),
-      names: batch.map(([name]) => name),
-    });
-    replica.acceptAll(answer.orDefault([]));
-    for (const [name, asked] of batch) {
-      const wanted = this.#wanted.get(name);
-      const held = replica.find(name)?.version ?? 0;
-      if (wanted === undefined) continue;
-      if (held >= wanted.version) {
+    for (const [, wanted] of batch) wanted.isPulled = true;
+    const names = batch.map(([name]) => name);
+    const held = names.map((name) => ({
+      name,
+      version: this.#heldVersion(name),
+    }));
+    const answer = await this.#fetch(source, { held, names });
+    const taken = replica.acceptAll(answer.orDefault([]));
+    for (const [name, wanted] of batch) {
+      wanted.isPulled = false;
+      // An answer may be cut, so the peer is asked again while it gives some.
+      if (taken === 0) {
+        wanted.sources.splice(wanted.sources.findIndex(isSource), 1);
+      }
+      const isDone = this.#heldVersion(name) >= wanted.version ||
+        wanted.sources.length === 0;
+      if (isDone && this.#wanted.get(name) === wanted) {
         this.#wanted.delete(name);
-        continue;
       }
-      // An answer may be cut, so a document that is missing from it is asked
-      // for again as long as each answer has a part of the batch.
-      if (wanted !== asked || answer.orDefault([]).length > 0) continue;
-      const index = wanted.sources.findIndex(({ nodeId }) =>
-        nodeId === source.nodeId
-      );
-      wanted.sources.splice(index, 1);
-      // Probes show later that the document is missing.
-      if (wanted.sources.length === 0) this.#wanted.delete(name);
     }
   }
 
-  async #compare({ peer, version }: Difference): Promise<void> {
+  /**
+   * Pulls what a peer holds beyond the version up to which this node is
+   * complete. If that finds nothing, this node lacks an older version, and all
+   * versions are compared.
+   */
+  async #compare(peer: Member): Promise<void> {
     const { replica, clock } = this.#options;
-    const behind = version > replica.highestVersion();
-    if (behind) this.#catchUpAt = clock.now() + CATCH_UP_INTERVAL_MS;
-    else this.#fullCompareAt = clock.now() + FULL_COMPARE_INTERVAL_MS;
-    if (!behind) {
-      await this.pullAll(peer);
-      return;
-    }
+    const taken = await this.#pullNewer(peer, replica.completeVersion());
+    if (taken !== 0 || clock.now() < this.#fullCompareAt) return;
+    const older = await this.#pullNewer(peer, 0);
+    this.#fullCompareIntervalMs = older === 0
+      ? Math.min(this.#fullCompareIntervalMs * 2, MAX_FULL_COMPARE_INTERVAL_MS)
+      : FULL_COMPARE_INTERVAL_MS;
+    this.#fullCompareAt = clock.now() + this.#fullCompareIntervalMs;
+  }
+
+  /**
+   * Pulls the documents that a peer holds in newer versions than this node and
+   * above a version.
+   *
+   * @returns Number of documents taken; undefined if the peer did not answer.
+   */
+  async #pullNewer(peer: Member, above: number): Promise<number | undefined> {
+    const { replica } = this.#options;
+    let total = 0;
     for (let page = 0; page < MAX_PAGES; page++) {
+      const held = replica.documents()
+        .filter(({ version }) => version > above)
+        .map(({ name, version }) => ({ name, version }));
       const answer = await this.#fetch(peer, {
-        held: [{ name: "", version: replica.highestVersion() }],
+        held: above === 0 ? held : [{ name: "", version: above }, ...held],
         names: [],
       });
-      if (replica.acceptAll(answer.orDefault([])) === 0) return;
+      if (answer.isLeft()) return undefined;
+      const taken = replica.acceptAll(answer.unsafeCoerce());
+      if (taken === 0) return total;
+      total += taken;
     }
+    return total;
+  }
+
+  #heldVersion(name: string): number {
+    return this.#options.replica.find(name)?.version ?? 0;
   }
 
   async #fetch(
--- a/packages/configuration/start_up.ts
+++ b/packages/configuration/start_up.ts
@@ -8,6 +8,7 @@
 import { pickRandom, randomFraction } from "./random_choice.ts";
 import { isLive } from "./reader_rank.ts";
 import type { StoreReader } from "./store_reader.ts";
+import { untilAborted } from "./wake_up.ts";
 
 /** Options of {@linkcode loadConfiguration}. */
 export interface StartUpOptions {
@@ -43,16 +44,18 @@
   const { reader, puller, replica, clock, signal, log } = options;
   const answered = new Set<string>();
   for (let round = 1; !signal.aborted; round++) {
-    if (await reader.read(0)) {
+    if (await untilAborted(reader.read(0), signal)) {
       replica.markLoaded();
       log?.write("info", "configuration_loaded", { source: "store" });
       return;
     }
+    if (signal.aborted) return;
     const peers = choosePeers(options);
     // One after another, so that the second peer sends only what the first one
     // did not have.
     for (const peer of peers) {
-      if (await puller.pullAll(peer)) answered.add(peer.nodeId);
+      const hasAnswered = await untilAborted(puller.pullAll(peer), signal);
+      if (hasAnswered) answered.add(peer.nodeId);
     }
     // One peer may be stale, for example because it was cut off.
     const needed = round > PATIENT_ROUNDS ? 1 : Math.min(2, peers.length);
--- a/packages/configuration/store_reader.ts
+++ b/packages/configuration/store_reader.ts
@@ -10,6 +10,7 @@
 import { isLive, isStoreReader } from "./reader_rank.ts";
 import type { StoreContact } from "./store_contact.ts";
 import { decodeStoredDocument, isDocumentName } from "./stored_document.ts";
+import { untilAborted } from "./wake_up.ts";
 
 /** Options of {@linkcode StoreReader}. */
 export interface StoreReaderOptions {
@@ -30,7 +31,7 @@
 export const WATCH_WAIT_MS = 2_000;
 
 /** Time between two decisions whether to read, in milliseconds. */
-export const READER_INTERVAL_MS = 1_000;
+export const READER_INTERVAL_MS = 500;
 
 /** Age of the latest known contact after which any node may read the store. */
 export const STALE_CONTACT_MS = 5_000;
@@ -40,7 +41,7 @@
  * contact with the store is known. A node reads with this number divided by the
  * number of live members, so the rate does not grow with the fleet.
  */
-export const FALLBACK_READS_PER_SECOND = 4;
+export const FALLBACK_READS_PER_SECOND = 8;
 
 const FIRST_BACKOFF_MS = 250;
 const MAX_BACKOFF_MS = 4_000;
@@ -71,12 +72,12 @@
     const { clock } = this.#options;
     while (!signal.aborted) {
       if (this.isTurn()) {
-        if (!await this.#readUntil(signal)) {
+        if (await untilAborted(this.read(WATCH_WAIT_MS), signal) === false) {
           await clock.sleep(this.#backoffMs(), signal);
         }
         continue;
       }
-      if (this.#isFallbackDue()) await this.read(0);
+      if (this.#isFallbackDue()) await untilAborted(this.read(0), signal);
       await clock.sleep(READER_INTERVAL_MS, signal);
     }
   }
@@ -113,18 +114,6 @@
     });
   }
 
-  /** Watches until the signal is aborted; the store ends the call later. */
-  async #readUntil(signal: AbortSignal): Promise<boolean> {
-    let stop = () => {};
-    const stopped = new Promise<boolean>((resolve) => {
-      stop = () => resolve(true);
-      signal.addEventListener("abort", stop);
-    });
-    const answered = await Promise.race([this.read(WATCH_WAIT_MS), stopped]);
-    signal.removeEventListener("abort", stop);
-    return answered;
-  }
-
   #take(listing: StoreListing): void {
     const { replica, log } = this.#options;
     const copies = listing.objects
@@ -142,6 +131,7 @@
       .filter((copy) => copy !== undefined);
     this.#revision = listing.revision;
     replica.acceptAll(copies);
+    replica.markComplete(listing.revision);
   }
 
   #isFallbackDue(): boolean {
--- a/packages/configuration/stored_document.ts
+++ b/packages/configuration/stored_document.ts
@@ -33,11 +33,17 @@
   readonly changes: readonly StoredChange[];
 }
 
+/**
+ * Greatest length of the name of a document in UTF-8 bytes, so that several
+ * names fit into a datagram of 1,200 bytes.
+ */
+export const MAX_DOCUMENT_NAME_BYTES = 200;
+
 /** Tells whether an object with this name is a document. */
 export function isDocumentName(name: string): boolean {
   return DOCUMENT_PREFIXES.some((prefix) =>
     name.startsWith(prefix) && name.length > prefix.length
-  );
+  ) && Buffer.byteLength(name) <= MAX_DOCUMENT_NAME_BYTES;
 }
 
 /** Hash that tells two contents of a document apart. */
--- a/packages/configuration/wake_up.ts
+++ b/packages/configuration/wake_up.ts
@@ -27,3 +27,25 @@
     signal.removeEventListener("abort", stop);
   }
 }
+
+/**
+ * Waits for a promise until the signal is aborted.
+ *
+ * @returns The value of the promise; undefined when the wait was ended.
+ */
+export async function untilAborted<Result>(
+  promise: Promise<Result>,
+  signal: AbortSignal,
+): Promise<Result | undefined> {
+  if (signal.aborted) return undefined;
+  let stop = () => {};
+  const stopped = new Promise<undefined>((resolve) => {
+    stop = () => resolve(undefined);
+    signal.addEventListener("abort", stop);
+  });
+  try {
+    return await Promise.race([promise, stopped]);
+  } finally {
+    signal.removeEventListener("abort", stop);
+  }
+}
