Test the full comparison of versions and evicted change identities

Cause: removing the comparison of all versions, or the check that the history reaches back far enough, made no test fail.

--- a/packages/configuration/configuration_service_test.ts
+++ b/packages/configuration/configuration_service_test.ts
@@ -207,7 +207,9 @@
 });
 
 // Guards against a node that never gets an older version that it lacks.
-test("a node that lacks an older version finds it by the digest", async () => {
+// A node holds itself for complete when it agreed with another that lacked the
+// version too.
+test.each([false, true])("an older version, complete %s", async (complete) => {
   const fleet = new FakeFleet({ seed: 16 });
   fleet.addMany(20);
   await fleet.clock.advance(5_000);
@@ -225,6 +227,7 @@
     deleted: false,
     changeId: "other",
   }]);
+  if (complete) cut!.replica.markComplete(missed + 1);
   expect(await commit(fleet)).toBe(missed + 1);
   fleet.isReachable = () => true;
   expect(await timeToAll(fleet, missed, "policy/missed"))
--- a/packages/configuration/store_document_editor_test.ts
+++ b/packages/configuration/store_document_editor_test.ts
@@ -90,6 +90,21 @@
   expect(await find(`c${KEPT_CHANGES}`)).toBe(KEPT_CHANGES + 1);
 });
 
+// Guards against a change that was stored but is reported as a conflict, because
+// its identity is no longer among the kept ones when the document is read back.
+test("a lost answer behind many other changes is unknown", async () => {
+  store.setFaults({ loseWriteAnswers: 1 });
+  const change = { expectedVersion: 0, changeId: "a" };
+  const applying = editor.apply(NAME, "{}", change);
+  await clock.advance(0);
+  for (let version = 1; version <= KEPT_CHANGES; version++) {
+    const other = { expectedVersion: version, changeId: `c${version}` };
+    await newEditor(2).apply(NAME, `${version}`, other);
+  }
+  expect((await clock.until(applying)).swap().unsafeCoerce().kind)
+    .toBe("outcome_unknown");
+});
+
 // Guards against a deletion that loses its identity or lowers the version.
 test("a deleted document keeps its history and can be created", async () => {
   await editor.apply(NAME, "1", { expectedVersion: 0, changeId: "a" });
