--- a/packages/calls/_target_pools.ts
+++ b/packages/calls/_target_pools.ts
@@ -1,7 +1,7 @@
 import { type Dispatcher, Pool } from "undici";
 
-/** Connections to a target whose limit is not known. */
-const DEFAULT_CONNECTIONS = 64;
+/** Connections to a target whose limit is not known, such as another node. */
+const DEFAULT_CONNECTIONS = 256;
 
 /**
  * Time for which an unused connection stays open, in milliseconds. A new
--- a/packages/calls/malformed_requests_test.ts
+++ b/packages/calls/malformed_requests_test.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import fc from "fast-check";
+import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, expect, test } from "vitest";
 import { request } from "undici";
 import { directTarget, EdgeFixture, OpenPolicy } from "@oleanderdeck/testing";
@@ -133,3 +134,19 @@
   expect(Math.min(...counts)).toBeGreaterThan(50);
   expect(Math.max(...counts)).toBeLessThan(200);
 });
+
+// Guards against a refusal that costs the caller its connection.
+test("a connection stays usable after a refusal", async () => {
+  const edge = await fixture.edge({ menus: [] });
+  const [host, port] = edge.address.split(":");
+  const socket = connect(Number(port), host);
+  let received = "";
+  socket.on("data", (chunk) => received += chunk.toString("latin1"));
+  const call = () => socket.write("GET /menus/x HTTP/1.1\r\nhost: a\r\n\r\n");
+  call();
+  await sleep(1500);
+  call();
+  await sleep(100);
+  expect(received.match(/HTTP\/1\.1 503/g)).toHaveLength(2);
+  socket.destroy();
+});
