--- a/packages/daemon/_test_fleet.ts
+++ b/packages/daemon/_test_fleet.ts
@@ -76,17 +76,19 @@
     await Promise.all(backends.map((backend) => this.addHost(backend)));
     const services = [...new Set(backends.map(({ service }) => service!))];
     await this.apply("agreement/clubs", AGREEMENT);
+    let lastVersion = 0n;
     for (const service of services) {
-      await this.apply(`policy/${service}`, {
+      const { version } = await this.apply(`policy/${service}`, {
         service,
         defaultTimeoutMs: 3000,
       });
+      lastVersion = version;
     }
     await this.waitUntil(async () =>
       (await Promise.all(this.hosts.map((host) => this.isReady(host))))
         .every(Boolean) &&
       this.hosts.every(({ node }) =>
-        node.configurationVersion() === this.store.revision() &&
+        node.configurationVersion() >= lastVersion &&
         node.members().filter(({ worker }) => worker !== undefined).length ===
           this.hosts.length
       )
