Add up metrics in memory and format each event once

Cause: each count was a statsd line of its own and each event was written as JSON, read again and formatted. Timings of 360 calls per second alone would send about 16 KB per second, against a budget of 6 KB per second. Names that callers invent could create counters without bound.

Change: Metrics adds up counters, the last value of gauges and a histogram per timing, and sends them once per second; a timing becomes a count and the gauges p50, p99 and max. The number of series is bounded. EventLog formats the line once, cuts long texts and escapes control characters.

--- a/packages/observability/event_log.ts
+++ b/packages/observability/event_log.ts
@@ -16,36 +16,47 @@
   readonly level: EventLevel;
   /** Receives the lines; the standard error stream if absent. */
   readonly output?: Writable;
+  /** Wall clock in milliseconds since 1970; `Date.now` if absent. */
+  readonly now?: () => number;
 }
 
-const PLAIN_VALUE = /^[^\s"=]+$/;
+/**
+ * Greatest length of the text of one value in UTF-16 code units. Longer texts
+ * are cut, so that what a caller sends cannot fill the log.
+ */
+export const MAX_VALUE_LENGTH = 1_000;
 
-function formatValue(value: unknown): string {
-  const text = String(value);
-  return PLAIN_VALUE.test(text) ? text : JSON.stringify(text);
-}
+const PLAIN_VALUE = /^[^\s"=\p{C}]+$/u;
 
-function formatLine(json: string): string {
-  const fields: Record<string, unknown> = JSON.parse(json);
-  return Object.entries(fields)
-    .map(([name, value]) => `${name}=${formatValue(value)}`)
-    .join(" ") + "\n";
+function formatValue(value: Exclude<EventValue, undefined>): string {
+  if (typeof value !== "string") return String(value);
+  const text = value.length > MAX_VALUE_LENGTH
+    ? `${value.slice(0, MAX_VALUE_LENGTH)}...`
+    : value;
+  return PLAIN_VALUE.test(text) ? text : JSON.stringify(text);
 }
 
 /** Writes one line of `key=value` pairs for each event, by pino. */
 export class EventLog {
   readonly #logger: pino.Logger;
+  readonly #now: () => number;
 
   /** @param options Least level and the stream for the lines. */
   constructor(options: EventLogOptions) {
     const output = options.output ?? process.stderr;
+    this.#now = options.now ?? Date.now;
+    // The line is formatted once, below, and pino carries it as the only text of
+    // its record. To format the fields of the record of pino instead takes about
+    // half as long again, because they are written as JSON and read again.
     this.#logger = pino({
       level: options.level,
       base: undefined,
-      messageKey: "event",
-      timestamp: () => `,"time":"${new Date().toISOString()}"`,
-      formatters: { level: (label) => ({ level: label }) },
-    }, { write: (json: string) => void output.write(formatLine(json)) });
+      messageKey: "line",
+      timestamp: false,
+    }, {
+      write: (json: string) =>
+        void output.write((JSON.parse(json) as { line: string }).line + "\n"),
+    });
   }
 
   /**
@@ -57,14 +68,11 @@
    */
   write(level: EventLevel, event: string, fields: EventFields = {}): void {
     if (!this.#logger.isLevelEnabled(level)) return;
-    const present = Object.fromEntries(
-      Object.entries(fields)
-        .filter(([, value]) => value !== undefined)
-        .map(([name, value]) => [
-          name,
-          typeof value === "bigint" ? value.toString() : value,
-        ]),
-    );
-    this.#logger[level](present, event);
+    let line = `level=${level} time=${new Date(this.#now()).toISOString()}`;
+    for (const name in fields) {
+      const value = fields[name];
+      if (value !== undefined) line += ` ${name}=${formatValue(value)}`;
+    }
+    this.#logger[level](`${line} event=${formatValue(event)}`);
   }
 }
--- a/packages/observability/metrics.ts
+++ b/packages/observability/metrics.ts
@@ -1,3 +1,4 @@
+import { build, type Histogram } from "hdr-histogram-js";
 import { StatsD } from "hot-shots";
 import type { ErrorKind } from "@oleanderdeck/errors";
 
@@ -22,52 +23,170 @@
   readonly port?: number;
   /** Tags of every metric. */
   readonly tags: Readonly<Record<string, string>>;
+  /** Time between two reports, in milliseconds; 1,000 by default. */
+  readonly intervalMs?: number;
 }
 
-/** Counters, gauges and timings, sent by hot-shots to a statsd server. */
+/**
+ * Greatest number of counters and gauges, and of timings. Service names that
+ * callers invent must not fill the memory; what is above is counted as
+ * `series_dropped`.
+ */
+export const MAX_SERIES = 4_096;
+
+/** Longest duration that a timing keeps, in milliseconds. */
+export const MAX_TIMING_MS = 600_000;
+
+/** Greatest number of timings, each with a histogram of 11 KB. */
+const MAX_TIMINGS = 256;
+
+interface Counter {
+  readonly name: string;
+  readonly service: string | undefined;
+  amount: number;
+}
+
+interface Timing {
+  readonly name: string;
+  readonly service: string;
+  readonly histogram: Histogram;
+}
+
+/**
+ * Counters, gauges and timings, sent by hot-shots to a statsd server. They are
+ * added up in memory and sent once per interval, so that the cost of a call and
+ * the traffic do not grow with the number of calls. A timing is sent as the
+ * counter `<name>.count` and the gauges `<name>.p50`, `<name>.p99` and
+ * `<name>.max` in milliseconds.
+ */
 export class Metrics {
   readonly #client: StatsD;
+  readonly #timer: NodeJS.Timeout | undefined;
+  readonly #counters = new Map<string, Counter>();
+  readonly #gauges = new Map<string, number>();
+  readonly #timings = new Map<string, Timing>();
+  readonly #isSent: boolean;
+  #dropped = 0;
 
   /** @param options Address of the server and common tags. */
   constructor(options: MetricsOptions) {
+    this.#isSent = options.host !== undefined;
     this.#client = new StatsD({
       host: options.host,
       port: options.port,
-      mock: options.host === undefined,
+      mock: !this.#isSent,
       prefix: "oleanderdeck.",
       globalTags: { ...options.tags },
       errorHandler: () => {},
       maxBufferSize: 1400,
     });
+    if (this.#isSent) {
+      this.#timer = setInterval(
+        () => this.#report(),
+        options.intervalMs ?? 1_000,
+      ).unref();
+    }
   }
 
   /** Counts a refusal by its kind. */
   countRefusal(kind: ErrorKind, service: string): void {
-    this.#client.increment(`refusal.${kind}`, 1, { service });
+    this.#add(`refusal.${kind}`, 1, service);
   }
 
   /** Counts a retry by its reason. */
   countRetry(reason: RetryReason, service: string): void {
-    this.#client.increment(`retry.${reason}`, 1, { service });
+    this.#add(`retry.${reason}`, 1, service);
   }
 
   /** Counts something else. */
   count(name: string, amount = 1): void {
-    this.#client.increment(name, amount);
+    this.#add(name, amount, undefined);
   }
 
-  /** Sets a gauge. */
+  /** Sets a gauge; the last value of an interval is sent. */
   gauge(name: string, value: number): void {
-    this.#client.gauge(name, value);
+    if (!this.#isSent) return;
+    if (this.#gauges.has(name) || this.#gauges.size < MAX_SERIES) {
+      this.#gauges.set(name, value);
+    } else {
+      this.#dropped++;
+    }
   }
 
   /** Records a duration in milliseconds. */
   timing(name: string, milliseconds: number, service: string): void {
-    this.#client.timing(name, milliseconds, { service });
+    if (!this.#isSent) return;
+    const key = `${name} ${service}`;
+    let timing = this.#timings.get(key);
+    if (timing === undefined) {
+      if (this.#timings.size >= MAX_TIMINGS) {
+        this.#dropped++;
+        return;
+      }
+      timing = { name, service, histogram: newHistogram() };
+      this.#timings.set(key, timing);
+    }
+    const bounded = Math.min(Math.max(milliseconds, 0), MAX_TIMING_MS);
+    timing.histogram.recordValue(Math.round(bounded * UNITS_PER_MS));
   }
 
   /** Sends what is buffered and closes the socket. */
   close(): Promise<void> {
+    clearInterval(this.#timer);
+    this.#report();
     return new Promise((resolve) => this.#client.close(() => resolve()));
   }
+
+  #add(name: string, amount: number, service: string | undefined): void {
+    if (!this.#isSent) return;
+    const key = service === undefined ? name : `${name} ${service}`;
+    const counter = this.#counters.get(key);
+    if (counter !== undefined) counter.amount += amount;
+    else if (this.#counters.size < MAX_SERIES) {
+      this.#counters.set(key, { name, service, amount });
+    } else this.#dropped++;
+  }
+
+  #report(): void {
+    if (this.#dropped > 0) {
+      this.#client.increment("series_dropped", this.#dropped);
+      this.#dropped = 0;
+    }
+    for (const { name, service, amount } of this.#counters.values()) {
+      this.#client.increment(name, amount, tagsOf(service));
+    }
+    this.#counters.clear();
+    for (const [name, value] of this.#gauges) this.#client.gauge(name, value);
+    this.#gauges.clear();
+    for (const [key, { name, service, histogram }] of this.#timings) {
+      // A service that is no longer called gives its place to another one.
+      if (histogram.totalCount === 0) {
+        this.#timings.delete(key);
+        continue;
+      }
+      const tags = tagsOf(service);
+      const percentile = (percent: number) =>
+        histogram.getValueAtPercentile(percent) / UNITS_PER_MS;
+      this.#client.increment(`${name}.count`, histogram.totalCount, tags);
+      this.#client.gauge(`${name}.p50`, percentile(50), tags);
+      this.#client.gauge(`${name}.p99`, percentile(99), tags);
+      this.#client.gauge(`${name}.max`, percentile(100), tags);
+      histogram.reset();
+    }
+  }
+}
+
+/** Histograms hold whole numbers, here hundredths of a millisecond. */
+const UNITS_PER_MS = 100;
+
+function newHistogram(): Histogram {
+  return build({
+    bitBucketSize: 32,
+    highestTrackableValue: MAX_TIMING_MS * UNITS_PER_MS,
+    numberOfSignificantValueDigits: 2,
+  });
+}
+
+function tagsOf(service: string | undefined): Record<string, string> {
+  return service === undefined ? {} : { service };
 }
