Pull all newer documents on news and spread the watches of readers

Cause: after a burst of changes the news, bounded in size and rate, named the documents one by one: 300 changes took 10.2 s to reach 300 nodes. The watches of all readers ended together at each change and stayed in step, so that the latest known contact with the store was up to 8 s old at some nodes.

Change: a pull on the occasion of news asks for all that the peer holds beyond the version up to which the node is complete. Wanted documents that came by another pull are forgotten. A watch waits half to one and a half times 2 s. A test commits 300 changes at 150 nodes and bounds the size of the news.

--- a/packages/configuration/_fake_fleet.ts
+++ b/packages/configuration/_fake_fleet.ts
@@ -1,4 +1,4 @@
-import { create } from "@bufbuild/protobuf";
+import { create, toBinary } from "@bufbuild/protobuf";
 import { Left, Right } from "purify-ts";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { PolicyView } from "@oleanderdeck/agreement";
@@ -16,6 +16,7 @@
   type Member,
   MemberSchema,
   MemberState,
+  NewsSchema,
   PingSchema,
 } from "@oleanderdeck/protocol";
 import { MemoryStore } from "@oleanderdeck/store";
@@ -145,6 +146,8 @@
   /** Datagrams by kind of message. */
   readonly sent = new Map<string, number>();
   fetches = 0;
+  /** Size of the largest message of the kind `news`, in bytes. */
+  largestNews = 0;
   /** Tells whether a message between two nodes gets through. */
   isReachable: (from: string, to: string) => boolean = () => true;
   readonly #random;
@@ -196,6 +199,10 @@
   deliver(sender: Member, nodeId: string, message: PeerMessage): boolean {
     const target = this.nodes.get(nodeId);
     this.sent.set(message.case, (this.sent.get(message.case) ?? 0) + 1);
+    if (message.case === "news") {
+      const { length } = toBinary(NewsSchema, message.value);
+      this.largestNews = Math.max(this.largestNews, length);
+    }
     if (target === undefined) return false;
     const copies = randomFraction(this.#random) < (this.options.doubled ?? 0)
       ? 2
--- a/packages/configuration/configuration_service_test.ts
+++ b/packages/configuration/configuration_service_test.ts
@@ -74,6 +74,27 @@
   await fleet.close();
 });
 
+// Guards against a burst of changes that the news, bounded in size and rate,
+// cannot carry in time. A datagram has 1,200 bytes, with about 200 of them for
+// its signature and header.
+test("a burst of 300 changes reaches 150 nodes in time", async () => {
+  const fleet = new FakeFleet({ seed: 21, loss: 0.05 });
+  fleet.addMany(150);
+  await fleet.clock.advance(5_000);
+  for (let change = 0; change < 300; change++) {
+    await commit(fleet, `policy/a-service-with-a-long-name-${change}`);
+  }
+  const start = fleet.clock.now();
+  const digests = () =>
+    new Set([...fleet.nodes.values()].map(({ replica }) => replica.digest()));
+  while (digests().size > 1) await fleet.clock.advance(100);
+  expect(fleet.clock.now() - start).toBeLessThan(TARGET_MS);
+  const last = fleet.nodes.get("node-0")!.replica;
+  expect(last.documents().length).toBe(300);
+  expect(fleet.largestNews).toBeLessThanOrEqual(1_000);
+  await fleet.close();
+});
+
 // Guards against a configuration that is lost or late because of an outage.
 test.each(["refuse", "hang"] as const)(
   "after an outage (%s) a change reaches all nodes",
--- a/packages/configuration/document_puller.ts
+++ b/packages/configuration/document_puller.ts
@@ -4,7 +4,11 @@
 import type { HeldConfiguration, Member } from "@oleanderdeck/protocol";
 import type { Clock } from "@oleanderdeck/settings";
 import type { ConfigurationReplica } from "./configuration_replica.ts";
-import type { DocumentPeer, DocumentRequest } from "./document_peer.ts";
+import type {
+  DocumentPeer,
+  DocumentRequest,
+  HeldVersion,
+} from "./document_peer.ts";
 import type { DocumentVersionCopy } from "./document_replica.ts";
 import { untilAborted, WakeUp } from "./wake_up.ts";
 
@@ -34,6 +38,13 @@
 /** Greatest number of names in one request. */
 const MAX_NAMES = 64;
 
+/**
+ * Greatest number of versions that are named to pull all else that a peer holds
+ * on the occasion of news, about 40 bytes each. Above it, only the documents of
+ * the news are pulled.
+ */
+const MAX_NAMED_VERSIONS = 256;
+
 /** Greatest number of answers of one comparison with a peer. */
 const MAX_PAGES = 1_000;
 
@@ -136,7 +147,7 @@
   async #runPulls(signal: AbortSignal): Promise<void> {
     const { clock } = this.#options;
     while (!signal.aborted) {
-      const next = [...this.#wanted.values()].find(({ isPulled }) => !isPulled);
+      const next = this.#nextWanted();
       if (next === undefined) {
         await this.#work.wait(clock, { milliseconds: IDLE_MS, signal });
       } else {
@@ -163,7 +174,21 @@
     }
   }
 
-  /** Pulls from a peer what it holds of the wanted documents. */
+  /** Finds a document to pull and forgets those that came by another pull. */
+  #nextWanted(): Wanted | undefined {
+    for (const [name, wanted] of this.#wanted) {
+      if (wanted.isPulled) continue;
+      if (this.#heldVersion(name) < wanted.version) return wanted;
+      this.#wanted.delete(name);
+    }
+    return undefined;
+  }
+
+  /**
+   * Pulls the wanted documents that a peer told of, and all else that it holds
+   * beyond the version up to which this node is complete. After a burst of
+   * changes, the news of one of them so brings all of them.
+   */
   async #pullWanted(source: Member): Promise<void> {
     const { replica } = this.#options;
     const isSource = ({ nodeId }: Member) => nodeId === source.nodeId;
@@ -173,12 +198,7 @@
       )
       .slice(0, MAX_NAMES);
     for (const [, wanted] of batch) wanted.isPulled = true;
-    const names = batch.map(([name]) => name);
-    const held = names.map((name) => ({
-      name,
-      version: this.#heldVersion(name),
-    }));
-    const answer = await this.#fetch(source, { held, names });
+    const answer = await this.#fetch(source, this.#newsRequest(batch));
     const taken = replica.acceptAll(answer.orDefault([]));
     for (const [name, wanted] of batch) {
       wanted.isPulled = false;
@@ -194,6 +214,27 @@
     }
   }
 
+  #newsRequest(
+    batch: readonly (readonly [string, Wanted])[],
+  ): DocumentRequest {
+    const newer = this.#versionsAbove(this.#options.replica.completeVersion());
+    if (newer.length <= MAX_NAMED_VERSIONS) return { held: newer, names: [] };
+    const names = batch.map(([name]) => name);
+    const held = names.map((name) => ({
+      name,
+      version: this.#heldVersion(name),
+    }));
+    return { held, names };
+  }
+
+  /** Versions to name in a request for all documents above a version. */
+  #versionsAbove(above: number): readonly HeldVersion[] {
+    const held = this.#options.replica.documents()
+      .filter(({ version }) => version > above)
+      .map(({ name, version }) => ({ name, version }));
+    return above === 0 ? held : [{ name: "", version: above }, ...held];
+  }
+
   /**
    * Pulls what a peer holds beyond the version up to which this node is
    * complete. If that finds nothing, this node lacks an older version, and all
@@ -220,11 +261,8 @@
     const { replica } = this.#options;
     let total = 0;
     for (let page = 0; page < MAX_PAGES; page++) {
-      const held = replica.documents()
-        .filter(({ version }) => version > above)
-        .map(({ name, version }) => ({ name, version }));
       const answer = await this.#fetch(peer, {
-        held: above === 0 ? held : [{ name: "", version: above }, ...held],
+        held: this.#versionsAbove(above),
         names: [],
       });
       if (answer.isLeft()) return undefined;
--- a/packages/configuration/store_reader.ts
+++ b/packages/configuration/store_reader.ts
@@ -25,7 +25,7 @@
 }
 
 /**
- * Time that a watch waits, in milliseconds. A waiting watch does not show that
+ * Mean time that a watch waits, in milliseconds. A waiting watch does not show that
  * the store works, so it is shorter than {@linkcode STALE_CONTACT_MS}.
  */
 export const WATCH_WAIT_MS = 2_000;
@@ -72,7 +72,9 @@
     const { clock } = this.#options;
     while (!signal.aborted) {
       if (this.isTurn()) {
-        if (await untilAborted(this.read(WATCH_WAIT_MS), signal) === false) {
+        if (
+          await untilAborted(this.read(this.#watchWaitMs()), signal) === false
+        ) {
           await clock.sleep(this.#backoffMs(), signal);
         }
         continue;
@@ -142,6 +144,15 @@
     return randomFraction(random) < perSecond * (READER_INTERVAL_MS / 1_000);
   }
 
+  /**
+   * Half to one and a half of the mean time. A change ends the watches of all
+   * readers at once, and without jitter they would stay in step from then on, so
+   * that the latest known contact is older than needed.
+   */
+  #watchWaitMs(): number {
+    return WATCH_WAIT_MS * (0.5 + randomFraction(this.#options.random));
+  }
+
   /** Exponential backoff, half of it jitter. */
   #backoffMs(): number {
     const bound = Math.min(
