--- a/packages/calls/_attempt.ts
+++ b/packages/calls/_attempt.ts
@@ -6,6 +6,9 @@
 /** Part of a refused answer that is read so that the connection stays usable. */
 const DISCARDED_BYTES = 65_536;
 
+/** Time for the rest of a refused answer to arrive, in milliseconds. */
+const DISCARD_MS = 1000;
+
 /** Receives what happens to an attempt. Nothing follows `onAttemptFailed`. */
 export interface AttemptOwner {
   /**
@@ -32,6 +35,7 @@
   #ended = false;
   #discarding = false;
   #discarded = 0;
+  #discardTimer: NodeJS.Timeout | undefined;
   #paused = false;
 
   /** Slot and target of the attempt. */
@@ -80,6 +84,7 @@
   /** Ignores the rest of the answer but keeps the connection if it is short. */
   discard(): void {
     this.#discarding = true;
+    this.#discardTimer = setTimeout(() => this.cancel(), DISCARD_MS).unref();
   }
 
   /** Continues after `onAnswerData` returned false. */
@@ -130,14 +135,15 @@
   onComplete(): void {
     if (this.#ended) return;
     this.#ended = true;
-    if (!this.#discarding) this.#guard(() => this.#owner.onAnswerEnd());
+    if (this.#discarding) clearTimeout(this.#discardTimer);
+    else this.#guard(() => this.#owner.onAnswerEnd());
   }
 
   onError(error: Error): void {
     if (this.#ended) return;
     this.#ended = true;
-    if (this.#discarding) return;
-    this.#guard(() => this.#fail(error));
+    if (this.#discarding) clearTimeout(this.#discardTimer);
+    else this.#guard(() => this.#fail(error));
   }
 
   #fail(error: Error): void {
--- a/packages/calls/call_faults_test.ts
+++ b/packages/calls/call_faults_test.ts
@@ -297,3 +297,19 @@
   await expect(late).rejects.toThrow();
   expect(edge.node.edge.inFlight).toBe(0);
 });
+
+// Guards against connections that are kept busy by refusals without an end.
+test("a refusal that never ends costs its connection", async () => {
+  const sockets: Socket[] = [];
+  const address = await fixture.rawServer((socket) => {
+    sockets.push(socket);
+    socket.once("data", () => {
+      socket.write("HTTP/1.1 503 Full\r\noleanderdeck-run: no\r\n");
+      socket.write("content-length: 10\r\n\r\nhalf");
+    });
+  });
+  const edge = await fixture.edge({ menus: [directTarget(address)] });
+  const answer = await request(`${edge.url}/menus/list`);
+  expect(answer.headers["oleanderdeck-error"]).toBe("worker_refused");
+  await settled(() => sockets[0]!.destroyed);
+});
