--- /dev/null
+++ b/packages/testing/_child_caller.ts
@@ -0,0 +1,83 @@
+import type { IncomingMessage } from "node:http";
+import { type Agent, request as sendRequest } from "undici";
+import { CONTEXT_FIELD, TIMEOUT_FIELD } from "@oleanderdeck/protocol";
+import type { ChildCall } from "./backend_behaviour.ts";
+import { BODY_BYTE, BODY_HASH_FIELD, sha256 } from "./_stand_in_http.ts";
+
+/** Bounds of the request that calls are made for. */
+export interface ChildCallBounds {
+  /** Time on `performance.now`. */
+  readonly deadline: number;
+  readonly signal: AbortSignal;
+}
+
+/** Calls of a backend stand-in to deeper services through its node. */
+export class ChildCaller {
+  readonly #node: string | undefined;
+  readonly #agent: Agent;
+  readonly #onFailure: () => void;
+
+  /**
+   * @param node Call address of the node.
+   * @param options Connections, and a listener for failed calls.
+   */
+  constructor(
+    node: string | undefined,
+    options: { readonly agent: Agent; readonly onFailure: () => void },
+  ) {
+    this.#node = node;
+    this.#agent = options.agent;
+    this.#onFailure = options.onFailure;
+  }
+
+  /** Makes the calls of a script; true when a required one has failed. */
+  async callAll(
+    calls: readonly ChildCall[],
+    request: IncomingMessage,
+    bounds: ChildCallBounds,
+  ): Promise<boolean> {
+    for (const call of calls) {
+      if (bounds.signal.aborted) return true;
+      const whole = await this.#call(call, request, bounds);
+      if (whole) continue;
+      this.#onFailure();
+      if (call.required) return true;
+    }
+    return false;
+  }
+
+  async #call(
+    call: ChildCall,
+    request: IncomingMessage,
+    bounds: ChildCallBounds,
+  ): Promise<boolean> {
+    const left = Math.floor(bounds.deadline - performance.now());
+    if (left <= 0) return false;
+    const body = call.bodyBytes === 0
+      ? null
+      : Buffer.alloc(call.bodyBytes, BODY_BYTE);
+    const context = request.headers[CONTEXT_FIELD];
+    try {
+      const answer = await sendRequest(
+        `http://${this.#node}/${call.service}${call.path}`,
+        {
+          method: call.method,
+          dispatcher: this.#agent,
+          headers: {
+            [TIMEOUT_FIELD]: String(left),
+            ...(context === undefined ? {} : { [CONTEXT_FIELD]: context }),
+            ...(body === null ? {} : { [BODY_HASH_FIELD]: sha256(body) }),
+          },
+          body,
+          signal: bounds.signal,
+        },
+      );
+      const hash = answer.headers[BODY_HASH_FIELD];
+      const received = Buffer.from(await answer.body.arrayBuffer());
+      return answer.statusCode < 400 &&
+        (hash === undefined || hash === sha256(received));
+    } catch {
+      return false;
+    }
+  }
+}
--- a/packages/testing/backend_stand_in.ts
+++ b/packages/testing/backend_stand_in.ts
@@ -1,4 +1,3 @@
-import { createHash } from "node:crypto";
 import {
   createServer,
   type IncomingMessage,
@@ -9,7 +8,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { Agent, request as sendRequest } from "undici";
 import {
-  CONTEXT_FIELD,
   FENCE_FIELD,
   REQUEST_FIELD,
   RUN_FIELD,
@@ -19,15 +17,24 @@
   type BackendBehaviour,
   backendBehaviourSchema,
   type BackendDescription,
-  type ChildCall,
   findScript,
   type ScriptedRequest,
   ServiceTimes,
 } from "./backend_behaviour.ts";
+import { ChildCaller } from "./_child_caller.ts";
 import { ExecutionRecord } from "./execution_record.ts";
+import { isStaleFence } from "./fence.ts";
+import {
+  BODY_BYTE,
+  BODY_HASH_FIELD,
+  readBody,
+  readText,
+  refuse,
+  sendJson,
+  sha256,
+} from "./_stand_in_http.ts";
 
-/** SHA-256 of a whole body in hexadecimal, sent and checked by both sides. */
-export const BODY_HASH_FIELD = "x-body-sha256";
+export { BODY_HASH_FIELD };
 
 /** Prefix of the control endpoints of a backend stand-in. */
 export const STAND_IN_PREFIX = "/stand-in/v1/";
@@ -41,10 +48,6 @@
 /** Time for a request without a timeout field, in milliseconds. */
 const DEFAULT_TIMEOUT_MS = 30_000;
 
-const ANSWER_BYTE = 0x6f;
-
-const FENCE = /^\d{1,20}\.\d{1,20}$/;
-
 /** Backend server for tests and the demo, driven by a JSON description. */
 export class BackendStandIn {
   /** Behaviour with all defaults filled in. */
@@ -57,6 +60,7 @@
   readonly #server: Server;
   readonly #times: ServiceTimes;
   readonly #agent = new Agent({ connections: 256, keepAliveTimeout: 20_000 });
+  readonly #caller: ChildCaller;
   readonly #answers = new Map<number, { body: Buffer; hash: string }>();
   #address = "";
   #inFlight = 0;
@@ -71,6 +75,10 @@
   constructor(description: BackendDescription) {
     this.behaviour = backendBehaviourSchema.parse(description);
     this.#times = new ServiceTimes(this.behaviour.seed);
+    this.#caller = new ChildCaller(this.behaviour.node, {
+      agent: this.#agent,
+      onFailure: () => this.record.counts.failedCalls++,
+    });
     this.#server = createServer(
       { keepAliveTimeout: 65_000 },
       (request, response) => this.#accept(request, response),
@@ -212,7 +220,7 @@
       String(request.headers[REQUEST_FIELD] ?? ""),
       request.method!,
     );
-    const failed = await this.#callAll(script.calls, request, {
+    const failed = await this.#caller.callAll(script.calls, request, {
       deadline,
       signal: gone.signal,
     });
@@ -236,7 +244,7 @@
     const bytes = script.answerBytes;
     let answer = this.#answers.get(bytes);
     if (answer === undefined) {
-      const body = Buffer.alloc(bytes, ANSWER_BYTE);
+      const body = Buffer.alloc(bytes, BODY_BYTE);
       answer = { body, hash: sha256(body) };
       this.#answers.set(bytes, answer);
     }
@@ -253,57 +261,6 @@
     response.end(answer.body);
   }
 
-  /** Makes the calls of a script; true when a required one has failed. */
-  async #callAll(
-    calls: readonly ChildCall[],
-    request: IncomingMessage,
-    bounds: { readonly deadline: number; readonly signal: AbortSignal },
-  ): Promise<boolean> {
-    for (const call of calls) {
-      if (bounds.signal.aborted) return true;
-      const whole = await this.#call(call, request, bounds);
-      if (whole) continue;
-      this.record.counts.failedCalls++;
-      if (call.required) return true;
-    }
-    return false;
-  }
-
-  async #call(
-    call: ChildCall,
-    request: IncomingMessage,
-    bounds: { readonly deadline: number; readonly signal: AbortSignal },
-  ): Promise<boolean> {
-    const left = Math.floor(bounds.deadline - performance.now());
-    if (left <= 0) return false;
-    const body = call.bodyBytes === 0
-      ? null
-      : Buffer.alloc(call.bodyBytes, ANSWER_BYTE);
-    const context = request.headers[CONTEXT_FIELD];
-    try {
-      const answer = await sendRequest(
-        `http://${this.behaviour.node}/${call.service}${call.path}`,
-        {
-          method: call.method,
-          dispatcher: this.#agent,
-          headers: {
-            [TIMEOUT_FIELD]: String(left),
-            ...(context === undefined ? {} : { [CONTEXT_FIELD]: context }),
-            ...(body === null ? {} : { [BODY_HASH_FIELD]: sha256(body) }),
-          },
-          body,
-          signal: bounds.signal,
-        },
-      );
-      const hash = answer.headers[BODY_HASH_FIELD];
-      const received = Buffer.from(await answer.body.arrayBuffer());
-      return answer.statusCode < 400 &&
-        (hash === undefined || hash === sha256(received));
-    } catch {
-      return false;
-    }
-  }
-
   async #control(
     request: IncomingMessage,
     response: ServerResponse,
@@ -342,58 +299,6 @@
   }
 }
 
-/**
- * Tells whether a fencing token `<incarnation>.<epoch>`, two decimal numbers,
- * is lower than the lowest valid one. A request without a token is not fenced.
- */
-export function isStaleFence(token: string, lowest: string): boolean {
-  if (token === "" || lowest === "") return false;
-  if (!FENCE.test(token) || !FENCE.test(lowest)) return true;
-  const [incarnation, epoch] = token.split(".").map(BigInt);
-  const [lowestIncarnation, lowestEpoch] = lowest.split(".").map(BigInt);
-  return incarnation! < lowestIncarnation! ||
-    incarnation === lowestIncarnation && epoch! < lowestEpoch!;
-}
-
-/** Reads a body: undefined when cut, else whether the stated hash fits. */
-async function readBody(
-  request: IncomingMessage,
-): Promise<boolean | undefined> {
-  const expected = request.headers[BODY_HASH_FIELD];
-  const hash = expected === undefined ? undefined : createHash("sha256");
-  try {
-    for await (const chunk of request) hash?.update(chunk as Buffer);
-  } catch {
-    return undefined;
-  }
-  return hash === undefined || hash.digest("hex") === expected;
-}
-
-async function readText(request: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request) chunks.push(chunk as Buffer);
-  return Buffer.concat(chunks).toString();
-}
-
-function refuse(
-  request: IncomingMessage,
-  response: ServerResponse,
-  status: number,
-): void {
-  response.writeHead(status, ["content-length", "0", RUN_FIELD, "no"]);
-  response.end();
-  request.resume();
-}
-
-function sendJson(response: ServerResponse, value: unknown): void {
-  response.writeHead(200, { "content-type": "application/json" });
-  response.end(JSON.stringify(value));
-}
-
-function sha256(bytes: Uint8Array): string {
-  return createHash("sha256").update(bytes).digest("hex");
-}
-
 function splitAddress(address: string): [string, number] {
   const colon = address.lastIndexOf(":");
   return [address.slice(0, colon), Number(address.slice(colon + 1))];
--- a/packages/testing/sessions/session_server.ts
+++ b/packages/testing/sessions/session_server.ts
@@ -1,5 +1,5 @@
 import { DeckError } from "@oleanderdeck/errors";
-import { isStaleFence } from "../backend_stand_in.ts";
+import { isStaleFence } from "../fence.ts";
 import {
   rejection,
   type SessionAnswer,
