Reserve a loopback network for each test with fixed ports

Cause: two test runs at the same time on one machine took each other's ports, and 11 tests failed with EADDRINUSE. Change: a test reserves a part of the loopback network by a port that it holds.

--- a/packages/daemon/_test_fleet.ts
+++ b/packages/daemon/_test_fleet.ts
@@ -13,7 +13,12 @@
   type PlatformStandIn,
   startPlatformStandIn,
 } from "@oleanderdeck/store";
-import { type BackendDescription, BackendStandIn } from "@oleanderdeck/testing";
+import {
+  type BackendDescription,
+  BackendStandIn,
+  type LoopbackNetwork,
+  reserveLoopbackNetwork,
+} from "@oleanderdeck/testing";
 import { Node } from "./node.ts";
 
 const TOKEN = "operator-token";
@@ -57,20 +62,16 @@
 export class TestFleet {
   readonly store = new MemoryStore({ clock: new SystemClock() });
   readonly hosts: TestHost[] = [];
-  readonly #network: string;
+  #reserved: LoopbackNetwork | undefined;
   readonly #agent = new Agent();
   #platform: PlatformStandIn | undefined;
 
-  /** @param network First two bytes of the addresses, unique for a test file. */
-  constructor(network: string) {
-    this.#network = network;
-  }
-
   /** Starts the platform stand-in and one host for each description. */
   async start(backends: readonly Partial<BackendDescription>[]): Promise<void> {
+    this.#reserved = await reserveLoopbackNetwork();
     this.#platform = await startPlatformStandIn({
       store: this.store,
-      host: `${this.#network}.0.1`,
+      host: `${this.#reserved!.prefix}.0.1`,
       port: 9400,
     });
     await Promise.all(backends.map((backend) => this.addHost(backend)));
@@ -97,7 +98,7 @@
 
   /** Starts another host. */
   async addHost(backend: Partial<BackendDescription>): Promise<TestHost> {
-    const ip = `${this.#network}.1.${this.hosts.length + 1}`;
+    const ip = `${this.#reserved!.prefix}.1.${this.hosts.length + 1}`;
     const host: TestHost = {
       ip,
       node: new Node(this.#settings(ip)),
@@ -206,6 +207,7 @@
     await Promise.all(this.hosts.map(({ node }) => node.abandon()));
     await this.#platform?.close();
     await this.#agent.destroy();
+    await this.#reserved?.close();
   }
 
   #settings(ip: string): NodeSettings {
@@ -216,7 +218,7 @@
       dataCentre: "wa-a",
       region: "wa",
       peerKeys: ["0123456789abcdef"],
-      seeds: [`${this.#network}.1.1:7102`],
+      seeds: [`${this.#reserved!.prefix}.1.1:7102`],
       storeUrl: this.#platform!.origin,
       operatorTokens: [
         { name: "test", role: "operator", sha256: sha256(TOKEN) },
--- a/packages/daemon/node_test.ts
+++ b/packages/daemon/node_test.ts
@@ -5,7 +5,7 @@
 let fleet: TestFleet;
 
 beforeEach(async () => {
-  fleet = new TestFleet("127.51");
+  fleet = new TestFleet();
   await fleet.start([
     {
       service: "bookings",
--- a/packages/daemon/oleanderdeckd_test.ts
+++ b/packages/daemon/oleanderdeckd_test.ts
@@ -5,21 +5,24 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { afterEach, beforeEach, expect, test } from "vitest";
+import { reserveLoopbackNetwork } from "@oleanderdeck/testing";
 
 // `npm run verify` builds the programs before the tests.
 const PROGRAM = fileURLToPath(
   new URL("../../dist/oleanderdeckd.mjs", import.meta.url),
 );
 
-const SETTINGS = {
-  callAddress: "127.53.0.1:7100",
-  controlAddress: "127.53.0.1:7101",
-  peerAddress: "127.53.0.1:7102",
-  dataCentre: "wa-a",
-  region: "wa",
-  peerKeys: ["0123456789abcdef"],
-  storeUrl: "http://127.53.0.9:9400",
-};
+function settingsFor(prefix: string): string {
+  return JSON.stringify({
+    callAddress: `${prefix}.0.1:7100`,
+    controlAddress: `${prefix}.0.1:7101`,
+    peerAddress: `${prefix}.0.1:7102`,
+    dataCentre: "wa-a",
+    region: "wa",
+    peerKeys: ["0123456789abcdef"],
+    storeUrl: `http://${prefix}.0.9:9400`,
+  });
+}
 
 let directory: string;
 
@@ -65,7 +68,7 @@
 
 // Guards against a check that starts the node or that is silent about faults.
 test("--check accepts good settings and refuses broken JSON", () => {
-  expect(run(JSON.stringify(SETTINGS), "--check")).toEqual({
+  expect(run(settingsFor("127.0"), "--check")).toEqual({
     status: 0,
     lines: [],
   });
@@ -74,16 +77,18 @@
 
 // Guards against a stack trace or a node that runs without its port.
 test("a port in use is one line and exit code 1", async () => {
+  const network = await reserveLoopbackNetwork();
   const server = createServer();
   await new Promise<void>((resolve) =>
-    server.listen(7100, "127.53.0.1", resolve)
+    server.listen(7100, `${network.prefix}.0.1`, resolve)
   );
-  const { lines, status } = run(JSON.stringify(SETTINGS));
+  const { lines, status } = run(settingsFor(network.prefix));
   server.close();
+  await network.close();
   expect(status).toBe(1);
   expect(lines).toEqual([
     "oleanderdeckd: The node cannot start: " +
-    "listen EADDRINUSE: address already in use 127.53.0.1:7100",
+    `listen EADDRINUSE: address already in use ${network.prefix}.0.1:7100`,
   ]);
 });
 
--- a/packages/demo/process_faults_test.ts
+++ b/packages/demo/process_faults_test.ts
@@ -6,6 +6,10 @@
 import { fileURLToPath } from "node:url";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { loadDescriptionSchema, runLoad } from "@oleanderdeck/load";
+import {
+  type LoopbackNetwork,
+  reserveLoopbackNetwork,
+} from "@oleanderdeck/testing";
 import { applyDocuments } from "./apply_documents.ts";
 import {
   type DeployedHost,
@@ -38,30 +42,38 @@
   };
 }
 
-const DEPLOYMENT: Deployment = deploymentSchema.parse({
-  name: "test",
-  region: "wa",
-  platformAddress: "127.54.0.1:9400",
-  demo: { slowService: "", killedHost: "", stoppedHost: "" },
-  services: [
-    service("bookings", ["127.54.1.1", "127.54.1.2"]),
-    service("menus", ["127.54.1.3", "127.54.1.4"]),
-  ],
-});
+function describeDeployment(prefix: string): Deployment {
+  return deploymentSchema.parse({
+    name: "test",
+    region: "wa",
+    platformAddress: `${prefix}.0.1:9400`,
+    demo: { slowService: "", killedHost: "", stoppedHost: "" },
+    services: [
+      service("bookings", [`${prefix}.1.1`, `${prefix}.1.2`]),
+      service("menus", [`${prefix}.1.3`, `${prefix}.1.4`]),
+    ],
+  });
+}
 
 let directory: string;
 let hosts: readonly DeployedHost[];
 let running: RunningDeployment;
+let network: LoopbackNetwork;
+
+/** Address of a host by its number, from 1. */
+const host = (number: number) => `${network.prefix}.1.${number}`;
 
 beforeEach(async () => {
+  network = await reserveLoopbackNetwork();
+  const deployment = describeDeployment(network.prefix);
   directory = mkdtempSync(join(tmpdir(), "oleanderdeck-test-"));
-  hosts = writeHosts(DEPLOYMENT, {
+  hosts = writeHosts(deployment, {
     directory,
     peerKey: "0123456789abcdef",
     operatorTokenHash: createHash("sha256").update(TOKEN).digest("hex"),
   });
   running = new RunningDeployment({
-    deployment: DEPLOYMENT,
+    deployment,
     hosts,
     programs: PROGRAMS,
   });
@@ -78,6 +90,7 @@
 
 afterEach(async () => {
   await running.close();
+  await network.close();
   rmSync(directory, { recursive: true, force: true });
 }, 30_000);
 
@@ -132,9 +145,9 @@
   const nodes = hosts.map(({ callAddress }) => callAddress);
   const loading = load(nodes, 7000);
   await sleep(1000);
-  running.signalNode("127.54.1.1", "SIGSTOP");
+  running.signalNode(host(1), "SIGSTOP");
   await sleep(4000);
-  running.signalNode("127.54.1.1", "SIGCONT");
+  running.signalNode(host(1), "SIGCONT");
   const report = await loading;
   expect(await brokenPromises()).toEqual(NONE);
   const { whole = 0, rejected = 0 } = report.totals.calls.outcomes;
@@ -146,14 +159,14 @@
 // Guards against a killed host that takes calls of others with it for long, and
 // against a replacement that trusts the memory of its predecessor.
 test("a host killed and replaced runs nothing twice", async () => {
-  const nodes = ["127.54.1.1:7100", "127.54.1.3:7100"];
+  const nodes = [`${host(1)}:7100`, `${host(3)}:7100`];
   const loading = load(nodes, 6000);
   await sleep(1000);
-  running.kill("127.54.1.2");
-  running.kill("127.54.1.4");
+  running.kill(host(2));
+  running.kill(host(4));
   await sleep(2000);
-  running.restart("127.54.1.2");
-  running.restart("127.54.1.4");
+  running.restart(host(2));
+  running.restart(host(4));
   const report = await loading;
   expect(await brokenPromises()).toEqual(NONE);
   expect(report.totals.attempts.outcomes.wrong_body ?? 0).toBe(0);
@@ -166,7 +179,7 @@
   const nodes = hosts.map(({ callAddress }) => callAddress);
   const loading = load(nodes, 5000);
   await sleep(1000);
-  expect(await running.stop("127.54.1.3")).toBe(true);
+  expect(await running.stop(host(3))).toBe(true);
   const report = await loading;
   expect(await brokenPromises()).toEqual(NONE);
   const { outcomes } = report.totals.attempts;
--- a/packages/membership/peer_clients_close_test.ts
+++ b/packages/membership/peer_clients_close_test.ts
@@ -1,4 +1,5 @@
 import { createServer, type ServerHttp2Session } from "node:http2";
+import type { AddressInfo } from "node:net";
 import { setImmediate as turn } from "node:timers/promises";
 import { create } from "@bufbuild/protobuf";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
@@ -22,9 +23,8 @@
       void router.service(PeerService, { syncMembers: () => ({}) }),
   }));
   server.on("session", (session) => sessions.add(session));
-  await new Promise<void>((resolve) =>
-    server.listen(7101, "127.52.0.1", resolve)
-  );
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
   const raised: unknown[] = [];
   const record = (error: unknown) => raised.push(error);
   const earlier = process.listeners("uncaughtException");
@@ -33,7 +33,7 @@
   const keys = new PeerKeys(["0123456789abcdef"]);
   const member = create(MemberSchema, {
     nodeId: "server",
-    controlAddress: "127.52.0.1:7101",
+    controlAddress: `127.0.0.1:${port}`,
   });
   for (let round = 0; round < ROUNDS; round++) {
     const clients = new PeerClients({ keys, nodeId: "client" });
