--- a/packages/membership/_disseminator.ts
+++ b/packages/membership/_disseminator.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "@oleanderdeck/settings";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
-import type { Member } from "@oleanderdeck/protocol";
+import { type Member, MemberState } from "@oleanderdeck/protocol";
 import { ByteBudget, type ByteBudgetOptions } from "./_byte_budget.ts";
 import { Latch } from "./_latch.ts";
 import { encodeMember } from "./_member_record.ts";
@@ -17,7 +17,7 @@
 const SENDS_PER_DOUBLING = 3;
 
 /** Updates in the queue from which on each one is sent fewer times. */
-const CROWDED_QUEUE = 16;
+const CROWDED_QUEUE = 32;
 
 const SENDS_PER_DOUBLING_CROWDED = 1;
 const EXTRA_SENDS_CROWDED = 2;
@@ -26,14 +26,18 @@
 // all nodes waits for minutes behind thousands of others that all know.
 const UPDATE_LIFETIME_MS = 15_000;
 
-// A change of one record costs a node of a fleet of 5,100 about 4 KB within 3 s,
-// which the burst covers; the rate keeps recoveries of thousands of records
+// A change of one record costs a node of a fleet of 5,100 about 4 KB within 3 s;
+// the burst covers several, and the rate keeps recoveries of thousands of records
 // within the control budget of 6 KB/s, sent and received together.
 const UPDATE_BUDGET: ByteBudgetOptions = {
   bytesPerSecond: 1000,
-  burstBytes: 15_000,
+  burstBytes: 30_000,
 };
 
+// A crowded queue leaves this much, so that after a start of all nodes there is
+// enough for the news of a failure.
+const RESERVE_BYTES = 15_000;
+
 /** Bytes of a datagram that are not updates, with the IP and UDP headers. */
 const ENVELOPE_BYTES = 110;
 
@@ -96,7 +100,7 @@
     const own = this.#takeOwn();
     const room = Math.min(
       roomBytes - totalBytes(own),
-      this.#budget.available(),
+      this.#availableBytes(),
     );
     const others = this.#queue.take(room, this.#timesToSend());
     const updates = [...own, ...others];
@@ -120,11 +124,12 @@
     const peers = table.sample(
       random,
       GOSSIP_PEERS,
-      (entry) => entry.member.nodeId !== nodeId,
+      ({ member }) =>
+        member.nodeId !== nodeId && member.state === MemberState.ALIVE,
     );
     for (const { member } of peers) {
       const isUrgent = this.#own !== undefined;
-      if (!isUrgent && this.#budget.available() < ENVELOPE_BYTES) return;
+      if (!isUrgent && this.#availableBytes() < ENVELOPE_BYTES) return;
       const updates = this.piggyback();
       if (updates.length === 0) return;
       link().sendTo(member.peerAddress, undefined, updates);
@@ -132,6 +137,15 @@
     }
   }
 
+  #availableBytes(): number {
+    const reserve = this.#isCrowded() ? RESERVE_BYTES : 0;
+    return this.#budget.available() - reserve;
+  }
+
+  #isCrowded(): boolean {
+    return this.#queue.size > CROWDED_QUEUE;
+  }
+
   #takeOwn(): readonly Uint8Array[] {
     if (this.#own === undefined) return [];
     const { bytes } = this.#own;
@@ -148,7 +162,7 @@
 
   #timesToSend(): number {
     const doublings = this.#doublings();
-    return this.#queue.size <= CROWDED_QUEUE
+    return !this.#isCrowded()
       ? Math.ceil(SENDS_PER_DOUBLING * doublings)
       : Math.ceil(SENDS_PER_DOUBLING_CROWDED * doublings) +
         EXTRA_SENDS_CROWDED;
--- a/packages/membership/_prober.ts
+++ b/packages/membership/_prober.ts
@@ -50,7 +50,9 @@
     while (!signal.aborted) {
       const startMs = clock.now();
       const target = this.#nextTarget();
-      if (target !== undefined) await this.#probe(target, signal);
+      if (target !== undefined) {
+        await this.#probe(target, signal, this.#newsFor(target));
+      }
       const restMs = startMs + PROBE_INTERVAL_MS - clock.now();
       if (restMs <= 0) continue;
       const sleptMs = clock.now();
@@ -78,7 +80,8 @@
             entry.member.state === MemberState.ALIVE &&
             entry.member.dataCentre === this.#alarmDataCentre,
         );
-        if (target !== undefined) void this.#probe(target, signal);
+        // News would be wasted on targets that are probably dead.
+        if (target !== undefined) void this.#probe(target, signal, []);
         await clock.sleep(ALARM_PROBE_INTERVAL_MS, signal);
       }
     }
@@ -98,18 +101,19 @@
     this.#alarm.open();
   }
 
-  async #probe(target: MemberEntry, signal: AbortSignal): Promise<void> {
-    const { disseminator, health, table } = this.#context;
+  async #probe(
+    target: MemberEntry,
+    signal: AbortSignal,
+    news: readonly Uint8Array[],
+  ): Promise<void> {
+    const { health, table } = this.#context;
     const { member } = target;
     const startMs = this.#context.clock.now();
     const wait = new AnswerWait(member.nodeId);
     const accusation = member.state === MemberState.ALIVE
       ? []
       : [encodeMember(toClaim(member))];
-    this.#pinger.send(member.peerAddress, wait, [
-      ...accusation,
-      ...disseminator.piggyback(),
-    ]);
+    this.#pinger.send(member.peerAddress, wait, [...accusation, ...news]);
     const isValid = await this.#sleep(DIRECT_TIMEOUT_MS, wait) &&
       (wait.isAnswered || await this.#probeIndirectly(target, wait));
     this.#pinger.end(wait);
@@ -124,6 +128,12 @@
     }
   }
 
+  #newsFor({ member }: MemberEntry): readonly Uint8Array[] {
+    return member.state === MemberState.ALIVE
+      ? this.#context.disseminator.piggyback()
+      : [];
+  }
+
   /** Returns false if the node itself was late. */
   async #probeIndirectly(
     target: MemberEntry,
--- a/packages/membership/membership_test.ts
+++ b/packages/membership/membership_test.ts
@@ -223,3 +223,17 @@
     await fleet.close();
   },
 );
+
+// Guards against records of replaced nodes that fill the memory.
+test("a dead record is kept for 24 h and then forgotten", async () => {
+  const fleet = new TestFleet(13);
+  await fleet.startAll(2);
+  await fleet.kill(1);
+  await fleet.until(60_000, () => fleet.nodes[0]!.counters().liveMembers === 1);
+  const almostDayMs = 86_400_000 - 120_000;
+  await advance(almostDayMs, 1000);
+  expect(fleet.nodes[0]!.find("node-1")?.state).toBe(MemberState.DEAD);
+  await advance(180_000, 1000);
+  expect(fleet.nodes[0]!.find("node-1")).toBeUndefined();
+  await fleet.close();
+});
