--- /dev/null
+++ b/packages/calls/call_context.ts
@@ -0,0 +1,211 @@
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { BinaryWriter, WireType } from "@bufbuild/protobuf/wire";
+import { type Either, Left, Right } from "purify-ts";
+import type { Priority } from "@oleanderdeck/agreement";
+import { DeckError } from "@oleanderdeck/errors";
+import type { PeerKeys } from "@oleanderdeck/membership";
+import { SIGNATURE_BYTES } from "@oleanderdeck/membership";
+import { type CallContext, CallContextSchema } from "@oleanderdeck/protocol";
+
+/** Fields of a context without those of the protobuf runtime. */
+export type CallContextFields = Omit<CallContext, "$typeName" | "$unknown">;
+
+/** Deepest accepted level of a call; a root request has depth 0. */
+export const MAXIMUM_DEPTH = 32;
+
+const CONTEXT_PURPOSE = "context";
+const FORWARD_PURPOSE = "forward";
+
+/** Child calls of one request carry the same context; this many are kept. */
+const CACHED_CONTEXTS = 2048;
+
+const MAXIMUM_CONTEXT_LENGTH = 2048;
+
+/** Encoded parts that are equal for many calls, kept per audience node. */
+const CACHED_PARTS = 64;
+
+/** Audience nodes for which encoded parts are kept. */
+const CACHED_AUDIENCES = 256;
+
+/** Why a node forwards a call to another node. */
+export type ForwardMode =
+  /** The receiver runs the call on its own worker or not at all. */
+  | "serve"
+  /** The receiver issued the permit of the call and acts for the caller. */
+  | "permit";
+
+const schemaFields = CallContextSchema.field;
+
+/** Text of the peer field: mode, sender, and a code over the call. */
+const PEER_FIELD = /^(serve|permit)\.(.{1,128})\.([\w-]{22})$/;
+
+/** Signs and verifies contexts and the field that proves a forwarding node. */
+export class ContextCodec {
+  readonly #keys: PeerKeys;
+  readonly #cache = new Map<string, CallContext>();
+  readonly #parts = new Map<string, SharedPart[]>();
+
+  /** @param keys Keys shared by all nodes. */
+  constructor(keys: PeerKeys) {
+    this.#keys = keys;
+  }
+
+  /** Encodes a context as the value of the context field. */
+  encode(fields: CallContextFields): string {
+    // Encoded messages may be concatenated: the part that is equal for all
+    // calls of an organisation to a worker is kept, because toBinary takes
+    // 17 us per call.
+    const bytes = new BinaryWriter()
+      .raw(this.#sharedPart(fields))
+      .tag(schemaFields.rootId.number, WireType.LengthDelimited)
+      .bytes(fields.rootId)
+      .tag(schemaFields.callId.number, WireType.LengthDelimited)
+      .bytes(fields.callId)
+      .tag(schemaFields.shedKey.number, WireType.Varint)
+      .uint32(fields.shedKey)
+      .tag(schemaFields.lentRetries.number, WireType.Varint)
+      .uint32(fields.lentRetries)
+      .finish();
+    const signature = this.#keys.sign(CONTEXT_PURPOSE, bytes);
+    return Buffer.concat([signature, bytes]).toString("base64url");
+  }
+
+  /**
+   * Decodes the value of a context field. `malformed_request` for a value that
+   * no node of the fleet has signed.
+   */
+  decode(text: string): Either<DeckError, CallContext> {
+    const known = this.#cache.get(text);
+    if (known !== undefined) return Right(known);
+    const context = this.#decode(text);
+    if (context === undefined) return Left(notAContext());
+    if (this.#cache.size >= CACHED_CONTEXTS) {
+      this.#cache.delete(this.#cache.keys().next().value!);
+    }
+    this.#cache.set(text, context);
+    return Right(context);
+  }
+
+  /**
+   * Makes the value of the peer field of a forwarded call.
+   *
+   * @param sender Node that forwards.
+   * @param call Mode and the parts of the call that the code covers.
+   */
+  signForward(sender: string, call: ForwardedCall): string {
+    const code = this.#keys.sign(FORWARD_PURPOSE, bytesOf(sender, call));
+    return `${call.mode}.${sender}.${Buffer.from(code).toString("base64url")}`;
+  }
+
+  /** Verifies the value of a peer field; undefined when it is not valid. */
+  verifyForward(
+    value: string,
+    call: Omit<ForwardedCall, "mode">,
+  ): ForwardMode | undefined {
+    const match = PEER_FIELD.exec(value);
+    if (match === null) return undefined;
+    const mode = match[1] as ForwardMode;
+    const bytes = bytesOf(match[2]!, { ...call, mode });
+    const code = Buffer.from(match[3]!, "base64url");
+    return this.#keys.verify(FORWARD_PURPOSE, bytes, code) ? mode : undefined;
+  }
+
+  #sharedPart(fields: CallContextFields): Uint8Array {
+    const parts = this.#partsFor(fields.audience);
+    const known = parts.find((part) => part.fits(fields));
+    if (known !== undefined) return known.bytes;
+    if (parts.length >= CACHED_PARTS) parts.length = 0;
+    const part = new SharedPart(fields);
+    parts.push(part);
+    return part.bytes;
+  }
+
+  #partsFor(audience: string): SharedPart[] {
+    const known = this.#parts.get(audience);
+    if (known !== undefined) return known;
+    if (this.#parts.size >= CACHED_AUDIENCES) this.#parts.clear();
+    const parts: SharedPart[] = [];
+    this.#parts.set(audience, parts);
+    return parts;
+  }
+
+  #decode(text: string): CallContext | undefined {
+    if (text.length > MAXIMUM_CONTEXT_LENGTH) return undefined;
+    const bytes = Buffer.from(text, "base64url");
+    const message = bytes.subarray(SIGNATURE_BYTES);
+    const signature = bytes.subarray(0, SIGNATURE_BYTES);
+    if (!this.#keys.verify(CONTEXT_PURPOSE, message, signature)) {
+      return undefined;
+    }
+    try {
+      const context = fromBinary(CallContextSchema, message);
+      return isPlausible(context) ? context : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+}
+
+/** Encoded fields that are equal for all calls of one kind to one node. */
+class SharedPart {
+  readonly bytes: Uint8Array;
+  readonly #fields: CallContextFields;
+
+  constructor(fields: CallContextFields) {
+    const { organisation, service, priority, depth } = fields;
+    const { audience, audienceIncarnation } = fields;
+    this.#fields = fields;
+    this.bytes = toBinary(
+      CallContextSchema,
+      create(CallContextSchema, {
+        organisation,
+        service,
+        priority,
+        depth,
+        audience,
+        audienceIncarnation,
+      }),
+    );
+  }
+
+  fits(fields: CallContextFields): boolean {
+    const own = this.#fields;
+    return own.organisation === fields.organisation &&
+      own.service === fields.service && own.priority === fields.priority &&
+      own.depth === fields.depth &&
+      own.audienceIncarnation === fields.audienceIncarnation;
+  }
+}
+
+/** Parts of a forwarded call that its code covers. */
+export interface ForwardedCall {
+  readonly mode: ForwardMode;
+  /** Value of the context field, unique per attempt. */
+  readonly context: string;
+  readonly method: string;
+  /** Whole request target. */
+  readonly url: string;
+}
+
+/** Reads the priority of a context that was decoded by {@linkcode ContextCodec}. */
+export function priorityOf(context: CallContext): Priority {
+  return context.priority as Priority;
+}
+
+function isPlausible(context: CallContext): boolean {
+  return context.priority <= 3 && context.shedKey <= 127 &&
+    context.depth <= MAXIMUM_DEPTH && context.callId.length === 16 &&
+    context.organisation !== "";
+}
+
+function bytesOf(sender: string, call: ForwardedCall): Uint8Array {
+  return Buffer.from(
+    `${sender}\n${call.mode}\n${call.context}\n${call.method} ${call.url}`,
+  );
+}
+
+function notAContext(): DeckError {
+  return new DeckError("malformed_request", {
+    message: "The call context is not valid",
+  });
+}
