--- a/packages/calls/call_edge_test.ts
+++ b/packages/calls/call_edge_test.ts
@@ -15,7 +15,10 @@
 const policy = new OpenPolicy({
   services: { menus: {}, bookings: {} },
   secrets: { lunchtable: "secret" },
-  rule: (query: RuleQuery) => ({ idempotent: query.method === "GET" }),
+  rule: (query: RuleQuery) => ({
+    idempotent: query.method === "GET",
+    permit: query.path === "/deposit" ? "required" : "optional",
+  }),
 });
 
 const fixture = new EdgeFixture(policy);
@@ -156,3 +159,42 @@
     shedKey: 5,
   });
 });
+
+// Guards against a refusal of another kind than the documented one, and against
+// a refused call that asks for a slot.
+test.each([
+  ["/menus/list", "lunchtable:wrong", "credential_refused"],
+  ["/menus/list", "strangers:secret", "no_agreement"],
+  ["/nothing/list", "lunchtable:secret", "no_such_service"],
+  ["/menus//list", "lunchtable:secret", "malformed_request"],
+])("%s as %s is refused as %s", async (path, secret, kind) => {
+  const edge = await fixture.edge({});
+  const answer = await request(edge.url + path, {
+    headers: { "oleanderdeck-credential": secret },
+  });
+  expect(answer.headers["oleanderdeck-error"]).toBe(kind);
+  expect(answer.headers["oleanderdeck-run"]).toBe("no");
+  expect(edge.admission.requests).toEqual([]);
+});
+
+// Guards against a required permit that the caller cannot get.
+test("a required permit is handed out with the refusal", async () => {
+  const backend = await fixture.backend({ service: "bookings" });
+  const edge = await fixture.edge({
+    bookings: [directTarget(backend.address)],
+  });
+  const pay = (headers: Record<string, string>) =>
+    request(`${edge.url}/bookings/deposit`, {
+      method: "POST",
+      headers: { ...credential, ...headers },
+    });
+  const refused = await pay({});
+  expect([refused.statusCode, refused.headers["oleanderdeck-run"]])
+    .toEqual([428, "no"]);
+  const permit = String(refused.headers["oleanderdeck-request"]);
+  expect((await pay({ "oleanderdeck-request": permit })).statusCode).toBe(200);
+  const gone = permit.replace("node-1.", "node-7.");
+  const unknown = await pay({ "oleanderdeck-request": gone });
+  expect(unknown.headers["oleanderdeck-error"]).toBe("outcome_unknown");
+  expect(backend.record.counts.started).toBe(1);
+});
