--- /dev/null
+++ b/packages/testing/sessions/node_attempt.ts
@@ -0,0 +1,195 @@
+import type { AdmittedAttempt } from "@oleanderdeck/admission";
+import type { Priority } from "@oleanderdeck/agreement";
+import { DeckError } from "@oleanderdeck/errors";
+import type { Allowance } from "@oleanderdeck/retries";
+import type { SessionAnswer, SessionCall } from "./session_call.ts";
+import type { Reply } from "./session_network.ts";
+import type { SessionNode } from "./session_node.ts";
+
+/** How an attempt ended. */
+export type Attempted =
+  | { readonly answer: SessionAnswer; readonly error: undefined }
+  | {
+    readonly error: DeckError;
+    /** Whether another attempt may help. */
+    readonly retry: boolean;
+    /** Whether a serving node stated the error. */
+    readonly stated: boolean;
+    /** When it was stated, if it was. */
+    readonly statedAt?: number | undefined;
+  };
+
+/** Options of {@linkcode NodeAttempt}. */
+export interface NodeAttemptOptions {
+  readonly admitted: AdmittedAttempt;
+  readonly allowance: Allowance;
+  /** Number of the attempt within its call, from 1. */
+  readonly attempt: number;
+  readonly deadline: number;
+  readonly progressTimeoutMs: number;
+  readonly priority: Priority;
+  readonly shedKey: number;
+  /** Permit of another node, to which the call goes; undefined otherwise. */
+  readonly issuedPermit: string | undefined;
+}
+
+/** One attempt of a call at a node: retries lent, request, reply, settlement. */
+export class NodeAttempt {
+  readonly #node: SessionNode;
+  readonly #call: SessionCall;
+  readonly #options: NodeAttemptOptions;
+
+  constructor(
+    node: SessionNode,
+    call: SessionCall,
+    options: NodeAttemptOptions,
+  ) {
+    this.#node = node;
+    this.#call = call;
+    this.#options = options;
+  }
+
+  /** Sends the attempt and waits for its end or the limit. */
+  async run(limit: Promise<"deadline">): Promise<Attempted> {
+    const { clock, uses } = this.#node;
+    const { mode } = this.#call;
+    const { admitted, allowance, attempt } = this.#options;
+    const { target } = admitted;
+    const serving = mode === "serve";
+    const lent = serving ? 0 : allowance.lend();
+    const callId = serving
+      ? this.#call.parent!.callId
+      : this.#node.nextCallId();
+    if (!serving && this.#options.issuedPermit === undefined) {
+      uses.recorder.record({
+        kind: "attempt_sent",
+        node: this.#node.nodeId,
+        sending: this.#call.sending,
+        service: this.#call.service,
+        attempt,
+      });
+    }
+    const startedAt = clock.now();
+    const progress = new AbortController();
+    const reply = await Promise.race([
+      this.#send(callId, lent),
+      clock.sleep(this.#options.progressTimeoutMs, progress.signal)
+        .then(() => ({ state: "lost" }) as const),
+      limit,
+    ]);
+    progress.abort();
+    await clock.awake();
+    const result = this.#judge(reply, target.kind);
+    admitted.finish({
+      durationMs: clock.now() - startedAt,
+      failure: result.error?.kind,
+      threshold: reply !== "deadline" && reply.state === "answered"
+        ? reply.answer.threshold
+        : undefined,
+    });
+    if (reply !== "deadline" && reply.state === "answered") {
+      allowance.giveBack(Math.min(reply.answer.unusedRetries ?? 0, lent));
+    }
+    if (result.error === undefined) {
+      if (target.kind === "direct" && this.#call.parent !== undefined) {
+        const { nodeId, incarnation } = target;
+        allowance.keepLoan({ callId, nodeId, incarnation, amount: lent });
+      }
+    } else if (result.error.run === "no") {
+      const returned = reply !== "deadline" && reply.state === "answered" &&
+        reply.answer.unusedRetries !== undefined;
+      if (!returned) allowance.giveBack(lent);
+    }
+    return result;
+  }
+
+  #send(
+    callId: Uint8Array,
+    lentRetries: number,
+  ): Promise<Reply<SessionAnswer>> {
+    const { clock, dataCentre, uses } = this.#node;
+    const { admitted, attempt, deadline, issuedPermit, priority, shedKey } =
+      this.#options;
+    const { target } = admitted;
+    const call = this.#call;
+    const next: SessionCall = {
+      ...call,
+      bodyEndsCleanly: uses.variant.endsCutBodies === true,
+      timeoutMs: Math.max(1, deadline - clock.now()),
+      attempt,
+      permit: issuedPermit ?? call.permit,
+      mode: issuedPermit === undefined ? "serve" : "permit",
+      parent: call.mode === "serve" ? call.parent : {
+        callId,
+        lentRetries,
+        audience: target.nodeId,
+        audienceIncarnation: target.incarnation,
+        service: call.service,
+        priority,
+        shedKey,
+      },
+    };
+    if (target.kind === "forward") {
+      const node = uses.findNode(target.nodeId);
+      return uses.network.call(dataCentre, node, () => node!.handle(next));
+    }
+    const server = uses.findServer(target.nodeId);
+    return uses.network.call(
+      dataCentre,
+      server,
+      () => server!.run(next, target.fence),
+    );
+  }
+
+  #judge(
+    reply: Reply<SessionAnswer> | "deadline",
+    target: "direct" | "forward",
+  ): Attempted {
+    const failed = (error: DeckError, retry = true, stated = false) => ({
+      error,
+      retry,
+      stated,
+    });
+    if (reply === "deadline") {
+      return failed(new DeckError("deadline_exceeded"), false);
+    }
+    const { variant } = this.#node.uses;
+    switch (reply.state) {
+      case "refused":
+        return failed(new DeckError("connection_refused"));
+      case "lost":
+        return failed(
+          new DeckError(
+            "connection_lost",
+            variant.deniesLostRuns ? { run: "no" } : {},
+          ),
+        );
+      case "cut":
+      case "answered": {
+        const { error } = reply.answer;
+        if (error !== undefined) {
+          return {
+            ...failed(error, true, target === "forward"),
+            statedAt: reply.answer.statedAt,
+          };
+        }
+        // The caller has the first part of a cut body already.
+        return {
+          error,
+          answer: reply.state === "cut" ? this.#cutAnswer() : reply.answer,
+        };
+      }
+    }
+  }
+
+  #cutAnswer(): SessionAnswer {
+    return {
+      error: undefined,
+      run: "yes",
+      answers: this.#call.identity,
+      bytes: 100,
+      wholeBytes: 200 + this.#call.sending,
+      cut: this.#node.uses.variant.endsCutBodies !== true,
+    };
+  }
+}
--- a/packages/testing/sessions/node_call.ts
+++ b/packages/testing/sessions/node_call.ts
@@ -13,25 +13,13 @@
   type SessionAnswer,
   type SessionCall,
 } from "./session_call.ts";
-import type { Reply } from "./session_network.ts";
+import { NodeAttempt } from "./node_attempt.ts";
+import { answerOf, outcomeOf } from "./permit_outcome.ts";
 import type { SessionNode } from "./session_node.ts";
 
 /** Expected duration of an attempt, in milliseconds. */
 const EXPECTED_MS = 10;
 
-/** How an attempt ended. */
-type Attempted =
-  | { readonly answer: SessionAnswer; readonly error: undefined }
-  | {
-    readonly error: DeckError;
-    /** Whether another attempt may help. */
-    readonly retry: boolean;
-    /** Whether a serving node stated the error. */
-    readonly stated: boolean;
-    /** When it was stated, if it was. */
-    readonly statedAt?: number | undefined;
-  };
-
 /**
  * One call at a node, over all attempts. Follows the same steps as the calls of
  * the HTTP edge: permit, admission, attempt, retry.
@@ -195,7 +183,19 @@
       }
       this.#allowance ??= this.#openAllowance();
       if (++this.#attempts === 1) retryBudget.countFirst(organisation);
-      const result = await this.#attempt(admitted, limit);
+      const result = await new NodeAttempt(this.#node, this.#call, {
+        admitted,
+        allowance: this.#allowance,
+        attempt: this.#attempts,
+        deadline: this.#deadline,
+        progressTimeoutMs: this.#policy.progressTimeoutMs,
+        priority: this.#call.parent?.priority ?? this.#rule.priority,
+        shedKey: this.#shedKey,
+        issuedPermit: this.#issuer === undefined ? undefined : this.#permitText,
+      }).run(limit);
+      if (result.error !== undefined && result.error.run !== "no") {
+        this.#mayHaveRun = true;
+      }
       if (result.error === undefined) return result.answer;
       if (this.#issuer !== undefined) {
         if (!result.stated) {
@@ -273,150 +273,6 @@
     return answer.extract();
   }
 
-  async #attempt(
-    admitted: AdmittedAttempt,
-    limit: Promise<"deadline">,
-  ): Promise<Attempted> {
-    const { clock, uses } = this.#node;
-    const { mode } = this.#call;
-    const { target } = admitted;
-    const allowance = this.#allowance!;
-    const serving = mode === "serve";
-    const lent = serving ? 0 : allowance.lend();
-    const callId = serving
-      ? this.#call.parent!.callId
-      : this.#node.nextCallId();
-    if (!serving && this.#issuer === undefined) {
-      uses.recorder.record({
-        kind: "attempt_sent",
-        node: this.#node.nodeId,
-        sending: this.#call.sending,
-        service: this.#call.service,
-        attempt: this.#attempts,
-      });
-    }
-    const startedAt = clock.now();
-    const progress = new AbortController();
-    const reply = await Promise.race([
-      this.#send(admitted, callId, lent),
-      clock.sleep(this.#policy.progressTimeoutMs, progress.signal)
-        .then(() => ({ state: "lost" }) as const),
-      limit,
-    ]);
-    progress.abort();
-    await clock.awake();
-    const result = this.#judge(reply, target.kind);
-    admitted.finish({
-      durationMs: clock.now() - startedAt,
-      failure: result.error?.kind,
-      threshold: reply !== "deadline" && reply.state === "answered"
-        ? reply.answer.threshold
-        : undefined,
-    });
-    if (reply !== "deadline" && reply.state === "answered") {
-      allowance.giveBack(Math.min(reply.answer.unusedRetries ?? 0, lent));
-    }
-    if (result.error === undefined) {
-      if (target.kind === "direct" && this.#call.parent !== undefined) {
-        const { nodeId, incarnation } = target;
-        allowance.keepLoan({ callId, nodeId, incarnation, amount: lent });
-      }
-    } else if (result.error.run === "no") {
-      const returned = reply !== "deadline" && reply.state === "answered" &&
-        reply.answer.unusedRetries !== undefined;
-      if (!returned) allowance.giveBack(lent);
-    } else this.#mayHaveRun = true;
-    return result;
-  }
-
-  #send(
-    { target }: AdmittedAttempt,
-    callId: Uint8Array,
-    lentRetries: number,
-  ): Promise<Reply<SessionAnswer>> {
-    const { clock, dataCentre, uses } = this.#node;
-    const call = this.#call;
-    const next: SessionCall = {
-      ...call,
-      bodyEndsCleanly: uses.variant.endsCutBodies === true,
-      timeoutMs: Math.max(1, this.#deadline - clock.now()),
-      attempt: this.#attempts,
-      permit: this.#issuer === undefined ? call.permit : this.#permitText,
-      mode: this.#issuer === undefined ? "serve" : "permit",
-      parent: call.mode === "serve" ? call.parent : {
-        callId,
-        lentRetries,
-        audience: target.nodeId,
-        audienceIncarnation: target.incarnation,
-        service: call.service,
-        priority: call.parent?.priority ?? this.#rule.priority,
-        shedKey: this.#shedKey,
-      },
-    };
-    if (target.kind === "forward") {
-      const node = uses.findNode(target.nodeId);
-      return uses.network.call(dataCentre, node, () => node!.handle(next));
-    }
-    const server = uses.findServer(target.nodeId);
-    return uses.network.call(
-      dataCentre,
-      server,
-      () => server!.run(next, target.fence),
-    );
-  }
-
-  #judge(
-    reply: Reply<SessionAnswer> | "deadline",
-    target: "direct" | "forward",
-  ): Attempted {
-    const failed = (error: DeckError, retry = true, stated = false) => ({
-      error,
-      retry,
-      stated,
-    });
-    if (reply === "deadline") {
-      return failed(new DeckError("deadline_exceeded"), false);
-    }
-    const { variant } = this.#node.uses;
-    switch (reply.state) {
-      case "refused":
-        return failed(new DeckError("connection_refused"));
-      case "lost":
-        return failed(
-          new DeckError(
-            "connection_lost",
-            variant.deniesLostRuns ? { run: "no" } : {},
-          ),
-        );
-      case "cut":
-      case "answered": {
-        const { error } = reply.answer;
-        if (error !== undefined) {
-          return {
-            ...failed(error, true, target === "forward"),
-            statedAt: reply.answer.statedAt,
-          };
-        }
-        // The caller has the first part of a cut body already.
-        return {
-          error,
-          answer: reply.state === "cut" ? this.#cutAnswer() : reply.answer,
-        };
-      }
-    }
-  }
-
-  #cutAnswer(): SessionAnswer {
-    return {
-      error: undefined,
-      run: "yes",
-      answers: this.#call.identity,
-      bytes: 100,
-      wholeBytes: 200 + this.#call.sending,
-      cut: this.#node.uses.variant.endsCutBodies !== true,
-    };
-  }
-
   #reject(last: DeckError): SessionAnswer {
     const error = this.#mayHaveRun && last.run === "no" &&
         !this.#node.uses.variant.deniesLostRuns
@@ -439,26 +295,3 @@
     });
   }
 }
-
-function answerOf(outcome: Outcome): SessionAnswer {
-  if (outcome.state === "not_run") return rejection(outcome.error);
-  if (outcome.state === "unknown") {
-    return rejection(new DeckError("outcome_unknown"));
-  }
-  if (outcome.answer === undefined) {
-    return rejection(new DeckError("already_run"));
-  }
-  return JSON.parse(Buffer.from(outcome.answer.body).toString());
-}
-
-/** Outcome for the ledger; the whole answer is kept as its body. */
-function outcomeOf(answer: SessionAnswer): Outcome {
-  if (answer.error !== undefined) {
-    return answer.run === "no"
-      ? { state: "not_run", error: answer.error }
-      : { state: "unknown" };
-  }
-  if (answer.cut) return { state: "unknown" };
-  const body = Buffer.from(JSON.stringify(answer));
-  return { state: "answered", answer: { status: 200, headers: [], body } };
-}
--- /dev/null
+++ b/packages/testing/sessions/permit_outcome.ts
@@ -0,0 +1,27 @@
+import { DeckError } from "@oleanderdeck/errors";
+import type { Outcome } from "@oleanderdeck/idempotency";
+import { rejection, type SessionAnswer } from "./session_call.ts";
+
+/** Answer to a repeated request from the outcome in the ledger. */
+export function answerOf(outcome: Outcome): SessionAnswer {
+  if (outcome.state === "not_run") return rejection(outcome.error);
+  if (outcome.state === "unknown") {
+    return rejection(new DeckError("outcome_unknown"));
+  }
+  if (outcome.answer === undefined) {
+    return rejection(new DeckError("already_run"));
+  }
+  return JSON.parse(Buffer.from(outcome.answer.body).toString());
+}
+
+/** Outcome for the ledger; the whole answer is kept as its body. */
+export function outcomeOf(answer: SessionAnswer): Outcome {
+  if (answer.error !== undefined) {
+    return answer.run === "no"
+      ? { state: "not_run", error: answer.error }
+      : { state: "unknown" };
+  }
+  if (answer.cut) return { state: "unknown" };
+  const body = Buffer.from(JSON.stringify(answer));
+  return { state: "answered", answer: { status: 200, headers: [], body } };
+}
