--- a/packages/admission/_service_admission.ts
+++ b/packages/admission/_service_admission.ts
@@ -140,7 +140,7 @@
     if (!this.#context.mechanisms.deadlines) return undefined;
     const remaining = request.deadline - now;
     const wait = this.expectedWaitMs(request.priority);
-    if (remaining <= 0 || remaining < wait + this.#durations.expectedMs(now)) {
+    if (remaining <= 0 || remaining < wait + this.#durations.mostMs(now)) {
       return new DeckError("deadline_too_short");
     }
     return undefined;
@@ -200,14 +200,17 @@
       const entry = this.#queue.peek();
       if (entry === undefined) return;
       const now = this.#context.clock.now();
-      if (entry.request.deadline <= now) {
+      if (entry.request.deadline - now < this.#leastMs(now)) {
         this.#refuse(entry, "deadline_too_short");
         continue;
       }
       const slot = this.#acquire(entry.request);
       if (slot === undefined) return;
       this.#queue.remove(entry);
-      this.#shedding.recordStart(now - entry.enqueuedAt);
+      this.#shedding.recordStart(
+        entry.request.priority,
+        now - entry.enqueuedAt,
+      );
       entry.answer(Right(this.#admitted(entry.request, slot)));
     }
   }
@@ -238,7 +241,7 @@
     if (this.#queue.length === 0) {
       const slot = this.#acquire(request);
       if (slot !== undefined) {
-        this.#shedding.recordStart(0);
+        this.#shedding.recordStart(request.priority, 0);
         return Right(this.#admitted(request, slot));
       }
     }
@@ -278,7 +281,8 @@
         finished = true;
         this.#running -= 1;
         this.#queue.finish(request);
-        if (result.failure === undefined) {
+        // A forwarded call's time includes its wait at the serving node.
+        if (result.failure === undefined && slot.target.kind === "direct") {
           this.#durations.record(result.durationMs, this.#context.clock.now());
         }
         this.#context.usage.finish(
@@ -366,16 +370,20 @@
 
   #expire(now: number): void {
     const expired = [...this.#queue.entries()]
-      .filter((entry) => entry.request.deadline <= now);
+      .filter((entry) => entry.request.deadline - now < this.#leastMs(now));
     for (const entry of expired) this.#refuse(entry, "deadline_too_short");
   }
 
+  /** Time left without which a start would be in vain. */
+  #leastMs(now: number): number {
+    return this.#context.mechanisms.deadlines ? this.#durations.mostMs(now) : 0;
+  }
+
   #endInterval(now: number): void {
     this.#intervalEndsAt = now + SHED_INTERVAL_MS;
-    const oldest = this.#queue.oldest();
     const before = this.threshold();
     if (this.#context.mechanisms.shedding) {
-      this.#shedding.endInterval(oldest && now - oldest.enqueuedAt);
+      this.#shedding.endInterval(this.#queue.oldestAges(now));
     }
     this.#startsPerMs += RATE_WEIGHT *
       (this.#starts / SHED_INTERVAL_MS - this.#startsPerMs);
--- a/packages/calls/call_edge.ts
+++ b/packages/calls/call_edge.ts
@@ -5,12 +5,14 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { type Either, Left } from "purify-ts";
 import { DeckError, ERROR_ANSWERS } from "@oleanderdeck/errors";
 import {
   CONTEXT_FIELD,
   CONTROL_PREFIX,
   PEER_FIELD,
 } from "@oleanderdeck/protocol";
+import { CallerRetries } from "@oleanderdeck/retries";
 import { Call } from "./_call.ts";
 import { CallWatch } from "./_call_watch.ts";
 import { type ControlHandler, controlHandler } from "./_control_routes.ts";
@@ -20,7 +22,7 @@
   ExpectedDurations,
   Withdrawals,
 } from "./_edge_parts.ts";
-import { IntakeReader } from "./_intake.ts";
+import { type Intake, IntakeReader } from "./_intake.ts";
 import { refusalBody, refusalLines, sendRefusal } from "./_refusal.ts";
 import { TargetPools } from "./_target_pools.ts";
 import { ContextCodec } from "./call_context.ts";
@@ -74,6 +76,8 @@
       callIds: new CallIds(self.incarnation),
       durations: new ExpectedDurations(),
       withdrawals: new Withdrawals(),
+      callerRetries: new CallerRetries(options.clock),
+      now: () => options.clock.now(),
       isDraining: () => this.#draining,
     };
     this.#control = controlHandler(
@@ -173,13 +177,24 @@
     if (this.#options.ready?.() === false) {
       return this.#refuse(response, new DeckError("not_ready"));
     }
-    this.#parts.reader.read(request).caseOf({
+    this.#read(request).caseOf({
       Left: (error) => this.#refuse(response, error),
       Right: (intake) =>
         new Call(this.#parts, intake, request, response).start(),
     });
   }
 
+  #read(request: IncomingMessage): Either<DeckError, Intake> {
+    try {
+      return this.#parts.reader.read(request);
+    } catch (cause) {
+      this.#options.log.write("error", "call_fault", {
+        fault: cause instanceof Error ? cause.stack : String(cause),
+      });
+      return Left(new DeckError("internal", { run: "no", cause }));
+    }
+  }
+
   #refuse(response: ServerResponse, error: DeckError): void {
     this.#options.metrics.countRefusal(error.kind, "");
     response.on("error", () => {});
