Do not deny a run for a permit, and count a caller's retries to one root

Cause: three faults that the tests of edge promises had listed. A draining or unready node answered run "no" for a permit whose request another node had run. A request of which no attempt ran lost its allowance, so that the caller's next sending of the same identity began with a full one. Change: a refusal that is made before the issuer is asked states what is known about the permit: no, yes or unknown. A request that was not run keeps its allowance for later sendings, which use no retry by themselves.

--- a/packages/calls/_attempt_series.ts
+++ b/packages/calls/_attempt_series.ts
@@ -100,7 +100,7 @@
     this.#finishAttempt(error);
     clearTimeout(this.#backoff);
     this.#waiting?.abort();
-    if (error.run === "no") this.#allowance.forget();
+    if (error.run === "no") this.#allowance.recordNotRun();
   }
 
   /** Gives up an attempt whose target has become silent. */
--- a/packages/calls/_call_allowance.ts
+++ b/packages/calls/_call_allowance.ts
@@ -22,14 +22,15 @@
 
   /**
    * Joins the allowance of an earlier request of the caller with the same
-   * identity, whose retry this call is.
+   * identity.
    *
-   * @returns Whether the call is such a retry.
+   * @returns Whether the call is a retry of a request that may have run.
    */
   joinEarlier(): boolean {
     if (this.#callerKey === undefined) return false;
-    this.#allowance = this.#edge.callerRetries.find(this.#callerKey);
-    return this.#allowance !== undefined;
+    const earlier = this.#edge.callerRetries.find(this.#callerKey);
+    this.#allowance = earlier?.allowance;
+    return earlier?.mayHaveRun ?? false;
   }
 
   /** Remembers the request, because it may run from now on. */
@@ -38,10 +39,10 @@
     this.#edge.callerRetries.remember(this.#callerKey, this.#open());
   }
 
-  /** Forgets the request, because it was not run. */
-  forget(): void {
+  /** Records that no attempt of the request was run. */
+  recordNotRun(): void {
     if (this.#callerKey === undefined) return;
-    this.#edge.callerRetries.forget(this.#callerKey);
+    this.#edge.callerRetries.recordNotRun(this.#callerKey);
   }
 
   /** Takes out the part that is lent with an attempt. */
--- a/packages/calls/call_edge.ts
+++ b/packages/calls/call_edge.ts
@@ -6,11 +6,12 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { type Either, Left } from "purify-ts";
-import { DeckError, ERROR_ANSWERS } from "@oleanderdeck/errors";
+import { DeckError, ERROR_ANSWERS, type ErrorKind } from "@oleanderdeck/errors";
 import {
   CONTEXT_FIELD,
   CONTROL_PREFIX,
   PEER_FIELD,
+  REQUEST_FIELD,
 } from "@oleanderdeck/protocol";
 import { CallerRetries } from "@oleanderdeck/retries";
 import { Call } from "./_call.ts";
@@ -172,13 +173,19 @@
       return;
     }
     if (this.#draining || (this.#drainingRoots && isRoot(request))) {
-      return this.#refuse(response, new DeckError("draining"));
+      return this.#refuse(response, this.#withRun(request, "draining"));
     }
     if (this.#options.ready?.() === false) {
-      return this.#refuse(response, new DeckError("not_ready"));
+      return this.#refuse(response, this.#withRun(request, "not_ready"));
     }
     this.#read(request).caseOf({
-      Left: (error) => this.#refuse(response, error),
+      Left: (error) =>
+        this.#refuse(
+          response,
+          error.run === "no"
+            ? this.#withRun(request, error.kind, error)
+            : error,
+        ),
       Right: (intake) =>
         new Call(this.#parts, intake, request, response).start(),
     });
@@ -195,6 +202,20 @@
     }
   }
 
+  // An earlier sending of the same permit may have run, here or elsewhere.
+  #withRun(
+    { headers }: IncomingMessage,
+    kind: ErrorKind,
+    error?: DeckError,
+  ): DeckError {
+    const identity = headers[REQUEST_FIELD];
+    const run = this.#options.ledger.runOf(
+      typeof identity === "string" ? identity : undefined,
+    );
+    if (run === "no" && error !== undefined) return error;
+    return new DeckError(kind, { run, message: error?.message, cause: error });
+  }
+
   #refuse(response: ServerResponse, error: DeckError): void {
     this.#options.metrics.countRefusal(error.kind, "");
     response.on("error", () => {});
--- a/packages/idempotency/permit_ledger.ts
+++ b/packages/idempotency/permit_ledger.ts
@@ -1,6 +1,6 @@
 import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
 import { type Either, Left, Right } from "purify-ts";
-import { DeckError } from "@oleanderdeck/errors";
+import { DeckError, type Run } from "@oleanderdeck/errors";
 import type { Clock } from "@oleanderdeck/settings";
 import { parsePermit, type Permit, signedPart } from "./permit.ts";
 
@@ -205,6 +205,37 @@
     return forgotten ? { state: "unknown" } : undefined;
   }
 
+  /**
+   * Tells what is known about an earlier run of a request, for a refusal that
+   * is made without asking the issuer of its permit.
+   *
+   * @param identity Identity that the caller sent; `no` if it is no permit.
+   */
+  runOf(identity: string | undefined): Run {
+    if (identity === undefined || parsePermit(identity) === undefined) {
+      return "no";
+    }
+    return this.check(identity).caseOf<Run>({
+      Left: ({ run }) => run,
+      Right: (permit) =>
+        this.isOwn(permit) ? this.#runOfOwn(permit) : "unknown",
+    });
+  }
+
+  #runOfOwn(permit: Permit): Run {
+    const outcome = this.outcome(permit);
+    if (outcome === undefined) return "no";
+    if (outcome === "running") return "unknown";
+    switch (outcome.state) {
+      case "answered":
+        return "yes";
+      case "not_run":
+        return "no";
+      case "unknown":
+        return "unknown";
+    }
+  }
+
   #repeat(entry: Entry, fingerprint: string): Begin {
     if (entry.fingerprint !== fingerprint) {
       return refuse(
--- a/packages/retries/caller_retries.ts
+++ b/packages/retries/caller_retries.ts
@@ -26,25 +26,34 @@
   }
 
   /**
-   * Finds the allowance of an earlier request with the same identity.
+   * Finds an earlier request with the same identity.
    *
    * @param key Organisation and identity.
    */
-  find(key: string): Allowance | undefined {
+  find(key: string): EarlierRequest | undefined {
     this.#forgetOld();
-    return this.#requests.get(key)?.allowance;
+    return this.#requests.get(key);
   }
 
-  /** Remembers a request that may have run. */
+  /** Remembers a request that may run from now on. */
   remember(key: string, allowance: Allowance): void {
-    if (this.#requests.has(key)) return;
-    this.#requests.set(key, { allowance, since: this.#clock.now() });
+    const known = this.#requests.get(key);
+    if (known !== undefined) {
+      known.mayHaveRun = true;
+      return;
+    }
+    const since = this.#clock.now();
+    this.#requests.set(key, { allowance, mayHaveRun: true, since });
     this.#forgetOld();
   }
 
-  /** Forgets a request that was accurately not run. */
-  forget(key: string): void {
-    this.#requests.delete(key);
+  /**
+   * Records that a request was accurately not run. A caller that sends it again
+   * uses no retry for that, but shares what is left of the allowance.
+   */
+  recordNotRun(key: string): void {
+    const known = this.#requests.get(key);
+    if (known !== undefined) known.mayHaveRun = false;
   }
 
   #forgetOld(): void {
@@ -57,7 +66,14 @@
   }
 }
 
-interface Remembered {
+/** Request of a caller that was sent before. */
+export interface EarlierRequest {
   readonly allowance: Allowance;
+  /** Whether any attempt may have run. */
+  readonly mayHaveRun: boolean;
+}
+
+interface Remembered extends EarlierRequest {
+  mayHaveRun: boolean;
   readonly since: number;
 }
--- a/packages/testing/edge_promises_test.ts
+++ b/packages/testing/edge_promises_test.ts
@@ -24,7 +24,7 @@
 
 // Guards against retries that are given back twice: by the field of the refusal
 // and because the refused attempt was not run.
-redTest(
+test(
   "edge: refused forwarded attempts stay within the allowance",
   async () => {
     const edges = newFixture(2, true);
@@ -42,7 +42,7 @@
 );
 
 // Guards against a root that is forgotten while its caller tries again.
-redTest(
+test(
   "edge: a caller's own retries count against the same root",
   async () => {
     const targets = Array.from(
@@ -84,17 +84,17 @@
 
 // Guards against a caller that is told "not run" about a booking that was run,
 // and books again with a new permit.
-redTest(
+test(
   "edge: a node that is not ready does not deny a run",
   () => repeatAtOther("not_ready"),
 );
-redTest(
+test(
   "edge: a draining node does not deny a run",
   () => repeatAtOther("draining"),
 );
 
 // Guards against a refusal for a limit that the organisation is far below.
-redTest("limit: the first call of an organisation is admitted", async () => {
+test("limit: the first call of an organisation is admitted", async () => {
   const fleet = new SessionFleet({
     deployment: "lunchtable",
     places: [{
