--- a/packages/calls/_attempt.ts
+++ b/packages/calls/_attempt.ts
@@ -6,6 +6,9 @@
 /** Part of a refused answer that is read so that the connection stays usable. */
 const DISCARDED_BYTES = 65_536;
 
+/** Time for the rest of a refused answer to arrive, in milliseconds. */
+const DISCARD_MS = 1000;
+
 /** Receives what happens to an attempt. Nothing follows `onAttemptFailed`. */
 export interface AttemptOwner {
   /**
@@ -18,6 +21,8 @@
   onAnswerData(chunk: Buffer): boolean;
   onAnswerEnd(): void;
   onAttemptFailed(error: DeckError, reason: RetryReason | undefined): void;
+  /** Called when a callback has thrown; undici would swallow the error. */
+  onFault(error: unknown): void;
 }
 
 /** One request to a target, as a handler for undici's `dispatch`. */
@@ -30,6 +35,7 @@
   #ended = false;
   #discarding = false;
   #discarded = 0;
+  #discardTimer: NodeJS.Timeout | undefined;
   #paused = false;
 
   /** Slot and target of the attempt. */
@@ -78,6 +84,7 @@
   /** Ignores the rest of the answer but keeps the connection if it is short. */
   discard(): void {
     this.#discarding = true;
+    this.#discardTimer = setTimeout(() => this.cancel(), DISCARD_MS).unref();
   }
 
   /** Continues after `onAnswerData` returned false. */
@@ -109,7 +116,7 @@
     if (status < 200) return true;
     this.#answered = true;
     this.#resume = resume;
-    this.#owner.onAnswerStart(status, reason, raw);
+    this.#guard(() => this.#owner.onAnswerStart(status, reason, raw));
     return true;
   }
 
@@ -128,13 +135,18 @@
   onComplete(): void {
     if (this.#ended) return;
     this.#ended = true;
-    if (!this.#discarding) this.#owner.onAnswerEnd();
+    if (this.#discarding) clearTimeout(this.#discardTimer);
+    else this.#guard(() => this.#owner.onAnswerEnd());
   }
 
   onError(error: Error): void {
     if (this.#ended) return;
     this.#ended = true;
-    if (this.#discarding) return;
+    if (this.#discarding) clearTimeout(this.#discardTimer);
+    else this.#guard(() => this.#fail(error));
+  }
+
+  #fail(error: Error): void {
     if (error instanceof DeckError) {
       this.#owner.onAttemptFailed(error, undefined);
     } else if (isInvalidArgument(error)) {
@@ -151,6 +163,14 @@
       this.#owner.onAttemptFailed(new DeckError(kind, { cause: error }), kind);
     }
   }
+
+  #guard(callback: () => void): void {
+    try {
+      callback();
+    } catch (error) {
+      this.#owner.onFault(error);
+    }
+  }
 }
 
 /** Options of {@linkcode Attempt}. */
--- a/packages/daemon/_test_fleet.ts
+++ b/packages/daemon/_test_fleet.ts
@@ -13,7 +13,12 @@
   type PlatformStandIn,
   startPlatformStandIn,
 } from "@oleanderdeck/store";
-import { type BackendDescription, BackendStandIn } from "@oleanderdeck/testing";
+import {
+  type BackendDescription,
+  BackendStandIn,
+  type LoopbackNetwork,
+  reserveLoopbackNetwork,
+} from "@oleanderdeck/testing";
 import { Node } from "./node.ts";
 
 const TOKEN = "operator-token";
@@ -57,35 +62,34 @@
 export class TestFleet {
   readonly store = new MemoryStore({ clock: new SystemClock() });
   readonly hosts: TestHost[] = [];
-  readonly #network: string;
+  #reserved: LoopbackNetwork | undefined;
   readonly #agent = new Agent();
   #platform: PlatformStandIn | undefined;
 
-  /** @param network First two bytes of the addresses, unique for a test file. */
-  constructor(network: string) {
-    this.#network = network;
-  }
-
   /** Starts the platform stand-in and one host for each description. */
   async start(backends: readonly Partial<BackendDescription>[]): Promise<void> {
+    this.#reserved = await reserveLoopbackNetwork();
     this.#platform = await startPlatformStandIn({
       store: this.store,
-      host: `${this.#network}.0.1`,
+      host: `${this.#reserved!.prefix}.0.1`,
       port: 9400,
     });
     await Promise.all(backends.map((backend) => this.addHost(backend)));
     const services = [...new Set(backends.map(({ service }) => service!))];
     await this.apply("agreement/clubs", AGREEMENT);
+    let lastVersion = 0n;
     for (const service of services) {
-      await this.apply(`policy/${service}`, {
+      const { version } = await this.apply(`policy/${service}`, {
         service,
         defaultTimeoutMs: 3000,
       });
+      lastVersion = version;
     }
     await this.waitUntil(async () =>
       (await Promise.all(this.hosts.map((host) => this.isReady(host))))
         .every(Boolean) &&
       this.hosts.every(({ node }) =>
+        node.configurationVersion() >= lastVersion &&
         node.members().filter(({ worker }) => worker !== undefined).length ===
           this.hosts.length
       )
@@ -94,7 +98,7 @@
 
   /** Starts another host. */
   async addHost(backend: Partial<BackendDescription>): Promise<TestHost> {
-    const ip = `${this.#network}.1.${this.hosts.length + 1}`;
+    const ip = `${this.#reserved!.prefix}.1.${this.hosts.length + 1}`;
     const host: TestHost = {
       ip,
       node: new Node(this.#settings(ip)),
@@ -203,6 +207,7 @@
     await Promise.all(this.hosts.map(({ node }) => node.abandon()));
     await this.#platform?.close();
     await this.#agent.destroy();
+    await this.#reserved?.close();
   }
 
   #settings(ip: string): NodeSettings {
@@ -213,7 +218,7 @@
       dataCentre: "wa-a",
       region: "wa",
       peerKeys: ["0123456789abcdef"],
-      seeds: [`${this.#network}.1.1:7102`],
+      seeds: [`${this.#reserved!.prefix}.1.1:7102`],
       storeUrl: this.#platform!.origin,
       operatorTokens: [
         { name: "test", role: "operator", sha256: sha256(TOKEN) },
--- a/packages/membership/_disseminator.ts
+++ b/packages/membership/_disseminator.ts
@@ -1,8 +1,9 @@
 import type { Clock } from "@oleanderdeck/settings";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
-import type { Member } from "@oleanderdeck/protocol";
+import { type Member, MemberState } from "@oleanderdeck/protocol";
 import { ByteBudget, type ByteBudgetOptions } from "./_byte_budget.ts";
 import { Latch } from "./_latch.ts";
+import { encodeMember } from "./_member_record.ts";
 import type { MemberTable } from "./_member_table.ts";
 import type { PeerLink } from "./_peer_link.ts";
 import { UPDATE_FRAMING_BYTES, UpdateQueue } from "./_update_queue.ts";
@@ -16,7 +17,7 @@
 const SENDS_PER_DOUBLING = 3;
 
 /** Updates in the queue from which on each one is sent fewer times. */
-const CROWDED_QUEUE = 16;
+const CROWDED_QUEUE = 32;
 
 const SENDS_PER_DOUBLING_CROWDED = 1;
 const EXTRA_SENDS_CROWDED = 2;
@@ -25,14 +26,18 @@
 // all nodes waits for minutes behind thousands of others that all know.
 const UPDATE_LIFETIME_MS = 15_000;
 
-// A change of one record costs a node of a fleet of 5,100 about 4 KB within 3 s,
-// which the burst covers; the rate keeps recoveries of thousands of records
+// A change of one record costs a node of a fleet of 5,100 about 4 KB within 3 s;
+// the burst covers several, and the rate keeps recoveries of thousands of records
 // within the control budget of 6 KB/s, sent and received together.
 const UPDATE_BUDGET: ByteBudgetOptions = {
   bytesPerSecond: 1000,
-  burstBytes: 15_000,
+  burstBytes: 30_000,
 };
 
+// A crowded queue leaves this much, so that after a start of all nodes there is
+// enough for the news of a failure.
+const RESERVE_BYTES = 15_000;
+
 /** Bytes of a datagram that are not updates, with the IP and UDP headers. */
 const ENVELOPE_BYTES = 110;
 
@@ -54,6 +59,7 @@
   readonly #queue = new UpdateQueue();
   readonly #budget: ByteBudget;
   readonly #news = new Latch();
+  #own: { readonly bytes: Uint8Array; timesSent: number } | undefined;
 
   constructor(options: DisseminatorOptions) {
     this.#options = options;
@@ -62,7 +68,7 @@
 
   /** Number of updates that still have to be sent. */
   get pending(): number {
-    return this.#queue.size;
+    return this.#queue.size + (this.#own === undefined ? 0 : 1);
   }
 
   /** Sends a record to peers in the next rounds. */
@@ -71,6 +77,15 @@
     this.#news.open();
   }
 
+  /**
+   * Sends the node's own record to peers in the next rounds, even if the budget
+   * is used up: a refutation or a drain must not wait behind the news of others.
+   */
+  announceOwn(record: Member): void {
+    this.#own = { bytes: encodeMember(record), timesSent: 0 };
+    this.#news.open();
+  }
+
   /** Notes that a peer has sent a record, so that it knows it. */
   noteReceived(record: Member): void {
     this.#queue.noteReceived(record);
@@ -82,8 +97,13 @@
    * @param roomBytes Room for updates in the datagram.
    */
   piggyback(roomBytes: number = UPDATE_ROOM_BYTES): readonly Uint8Array[] {
-    const room = Math.min(roomBytes, this.#budget.available());
-    const updates = this.#queue.take(room, this.#timesToSend());
+    const own = this.#takeOwn();
+    const room = Math.min(
+      roomBytes - totalBytes(own),
+      this.#availableBytes(),
+    );
+    const others = this.#queue.take(room, this.#timesToSend());
+    const updates = [...own, ...others];
     this.#budget.spend(totalBytes(updates));
     return updates;
   }
@@ -92,7 +112,7 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.#options;
     while (!signal.aborted) {
-      if (this.#queue.size === 0) await this.#news.wait(signal);
+      if (this.pending === 0) await this.#news.wait(signal);
       this.#queue.dropOlderThan(clock.now() - UPDATE_LIFETIME_MS);
       if (!signal.aborted) this.#sendRound();
       await clock.sleep(GOSSIP_INTERVAL_MS, signal);
@@ -104,10 +124,12 @@
     const peers = table.sample(
       random,
       GOSSIP_PEERS,
-      (entry) => entry.member.nodeId !== nodeId,
+      ({ member }) =>
+        member.nodeId !== nodeId && member.state === MemberState.ALIVE,
     );
     for (const { member } of peers) {
-      if (this.#budget.available() < ENVELOPE_BYTES) return;
+      const isUrgent = this.#own !== undefined;
+      if (!isUrgent && this.#availableBytes() < ENVELOPE_BYTES) return;
       const updates = this.piggyback();
       if (updates.length === 0) return;
       link().sendTo(member.peerAddress, undefined, updates);
@@ -115,9 +137,32 @@
     }
   }
 
+  #availableBytes(): number {
+    const reserve = this.#isCrowded() ? RESERVE_BYTES : 0;
+    return this.#budget.available() - reserve;
+  }
+
+  #isCrowded(): boolean {
+    return this.#queue.size > CROWDED_QUEUE;
+  }
+
+  #takeOwn(): readonly Uint8Array[] {
+    if (this.#own === undefined) return [];
+    const { bytes } = this.#own;
+    this.#own.timesSent += 1;
+    if (this.#own.timesSent >= SENDS_PER_DOUBLING * this.#doublings()) {
+      this.#own = undefined;
+    }
+    return [bytes];
+  }
+
+  #doublings(): number {
+    return Math.log2(this.#options.table.liveCount + 1);
+  }
+
   #timesToSend(): number {
-    const doublings = Math.log2(this.#options.table.liveCount + 1);
-    return this.#queue.size <= CROWDED_QUEUE
+    const doublings = this.#doublings();
+    return !this.#isCrowded()
       ? Math.ceil(SENDS_PER_DOUBLING * doublings)
       : Math.ceil(SENDS_PER_DOUBLING_CROWDED * doublings) +
         EXTRA_SENDS_CROWDED;
