--- a/packages/testing/edge_promises_test.ts
+++ b/packages/testing/edge_promises_test.ts
@@ -60,6 +60,25 @@
   },
 );
 
+// Guards against retries of a request that may have run once more than allowed.
+test("edge: sendings that may have run share one allowance", async () => {
+  const edges = newFixture(3, true);
+  const targets = [];
+  for (let index = 0; index < 12; index++) {
+    const address = await edges.rawServer((socket) =>
+      socket.once("data", () => socket.destroy())
+    );
+    targets.push(directTarget(address, `lost-${index}`));
+  }
+  const { admission, url } = await edges.edge({ bookings: targets });
+  const headers = { [REQUEST_FIELD]: "list-1" };
+  await fetch(`${url}/bookings/`, { headers });
+  // The part lent for a lost attempt stays spent.
+  expect(admission.requests.length).toBe(3);
+  await fetch(`${url}/bookings/`, { headers });
+  expect(admission.requests.length).toBeLessThanOrEqual(2 + 3);
+});
+
 async function repeatAtOther(state: "not_ready" | "draining") {
   const edges = newFixture(0, false);
   const backend = await edges.backend({ service: "bookings" });
@@ -97,11 +116,11 @@
 redTest("limit: the first call of an organisation is admitted", async () => {
   const fleet = new SessionFleet({
     deployment: "lunchtable",
-    places: [{
-      nodeId: "wa-a-1",
-      dataCentre: "wa-a",
+    places: ["wa-a-1", "wa-b-1", "wa-c-1"].map((nodeId) => ({
+      nodeId,
+      dataCentre: nodeId.slice(0, 4),
       server: { service: "members", slots: 4, durationMs: 10, calls: [] },
-    }],
+    })),
     seed: 1,
   });
   await fleet.start();
