--- a/packages/membership/_anti_entropy.ts
+++ b/packages/membership/_anti_entropy.ts
@@ -5,6 +5,7 @@
   DigestSchema,
   type Member,
   MemberPageSchema,
+  MemberState,
 } from "@oleanderdeck/protocol";
 import { ByteBudget, type ByteBudgetOptions } from "./_byte_budget.ts";
 import { isPeer, type MembershipContext } from "./_context.ts";
@@ -43,6 +44,9 @@
   burstBytes: 24_000,
 };
 
+/** Peers that are asked about a member. */
+const INQUIRY_PEERS = 3;
+
 /** `claim` tells the state only, `request` asks the receiver for its record. */
 type Form = "claim" | "record" | "request";
 
@@ -113,6 +117,23 @@
     this.#enqueue(address, nodeId, "record");
   }
 
+  /** Tells random peers what is held, so that they answer if they know better. */
+  inquire(nodeIds: readonly string[]): void {
+    const { random, table } = this.#context;
+    const peers = table.sample(
+      random,
+      INQUIRY_PEERS,
+      (entry) =>
+        isPeer(this.#context, entry) &&
+        entry.member.state === MemberState.ALIVE,
+    );
+    for (const { member } of peers) {
+      nodeIds.forEach((nodeId) =>
+        this.#enqueue(member.peerAddress, nodeId, "claim")
+      );
+    }
+  }
+
   /** Answers a digest with what the sender may lack. */
   receiveDigest(digest: Digest, sender: Member): void {
     const { clock, table } = this.#context;
--- a/packages/membership/_prober.ts
+++ b/packages/membership/_prober.ts
@@ -1,3 +1,4 @@
+import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { type Member, MemberState } from "@oleanderdeck/protocol";
 import { isPeer, type MembershipContext } from "./_context.ts";
 import { Latch } from "./_latch.ts";
@@ -23,6 +24,11 @@
 /** Points by which a round without any datagram raises the health score. */
 const ISOLATION_POINTS = 2;
 
+// Members that tell a suspect of the suspicion, on average, beside the one that
+// suspects it: gossip leaves suspects out, and with 20% loss the one message of
+// the accuser was lost with its repetitions now and then.
+const TELLERS = 8;
+
 /** Suspects in a data centre from which on it may have failed as a whole. */
 const ALARM_SUSPECTS = 3;
 
@@ -88,11 +94,19 @@
   }
 
   /** Takes note of suspicions after a change of a record. */
-  note({ dataCentre, nodeId, state }: Member): void {
+  note(member: Member): void {
+    const { dataCentre, nodeId, state } = member;
     if (state !== MemberState.SUSPECT) {
       this.#suspects.delete(nodeId);
       return;
     }
+    const { random, table } = this.#context;
+    if (
+      !this.#suspects.has(nodeId) &&
+      uniformInt(random, 1, table.liveCount) <= TELLERS
+    ) {
+      this.#tell(member);
+    }
     this.#suspects.set(nodeId, dataCentre);
     const suspects = [...this.#suspects.values()]
       .filter((other) => other === dataCentre);
@@ -179,9 +193,14 @@
     }
     const { member } = target;
     if (member.state !== MemberState.ALIVE) return;
-    const claim = { ...toClaim(member), state: MemberState.SUSPECT };
-    applyOwn(claim);
-    const updates = [encodeMember(claim)];
+    const suspect = { ...member, state: MemberState.SUSPECT };
+    applyOwn(toClaim(suspect));
+    this.#tell(suspect);
+  }
+
+  /** Tells a suspect of the suspicion, so that it can refute it. */
+  #tell(member: Member): void {
+    const updates = [encodeMember(toClaim(member))];
     void this.#pinger.ping(member.peerAddress, member.nodeId, {
       timeoutMs: DIRECT_TIMEOUT_MS,
       updates,
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -1,7 +1,5 @@
 import { setMaxListeners } from "node:events";
 import { create } from "@bufbuild/protobuf";
-import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
-import type { EventLog } from "@oleanderdeck/observability";
 import {
   type Datagram,
   type HeldConfiguration,
@@ -10,7 +8,6 @@
   MemberState,
   type Worker,
 } from "@oleanderdeck/protocol";
-import type { Clock } from "@oleanderdeck/settings";
 import { AntiEntropy } from "./_anti_entropy.ts";
 import type { MembershipContext } from "./_context.ts";
 import { DeadMembers } from "./_dead_members.ts";
@@ -29,58 +26,16 @@
   toClaim,
 } from "./_member_record.ts";
 import { MemberTable } from "./_member_table.ts";
-import { type DropCounters, PeerLink } from "./_peer_link.ts";
+import { PeerLink } from "./_peer_link.ts";
 import { Pinger } from "./_pinger.ts";
 import { Prober } from "./_prober.ts";
 import { SuspicionTimer } from "./_suspicion.ts";
-import type {
-  DatagramTransport,
-  TransportCounters,
-} from "./datagram_transport.ts";
 import { newIncarnation } from "./incarnation.ts";
+import type {
+  MembershipCounters,
+  MembershipOptions,
+} from "./membership_options.ts";
 import { MemberView, type PeerChannel } from "./member_view.ts";
-import type { PeerKeys } from "./peer_keys.ts";
-
-/** Options of {@linkcode Membership}. */
-export interface MembershipOptions {
-  /** Unique in the fleet, at most 48 characters. */
-  readonly nodeId: string;
-  /** A new one by {@linkcode newIncarnation} if absent. */
-  readonly incarnation?: bigint;
-  /** Address that peers use; the transport's own if absent. */
-  readonly peerAddress?: string;
-  readonly callAddress: string;
-  readonly controlAddress: string;
-  readonly dataCentre: string;
-  readonly region: string;
-  readonly transport: DatagramTransport;
-  readonly keys: PeerKeys;
-  readonly clock: Clock;
-  readonly random: RandomGenerator;
-  /** Peer addresses of seeds; asked again at each attempt to join. */
-  readonly seeds: () => Promise<readonly string[]>;
-  /**
-   * Asks a peer for its whole list of members, by
-   * {@linkcode Membership.syncMembers} on its side. Datagrams alone are used if
-   * absent, which takes minutes in a fleet of thousands.
-   */
-  readonly pullMembers?: (peer: Member) => Promise<readonly Member[]>;
-  readonly log?: EventLog;
-}
-
-/** Figures about a membership for metrics. */
-export interface MembershipCounters {
-  readonly traffic: TransportCounters;
-  /** Datagrams dropped on receipt, by reason. */
-  readonly drops: DropCounters;
-  /** Score of the node's own health, 0 when it is well. */
-  readonly healthScore: number;
-  /** Updates that still have to be sent to peers. */
-  readonly pendingUpdates: number;
-  readonly liveMembers: number;
-  /** Suspicions of this node that it refuted. */
-  readonly refutations: number;
-}
 
 /** Time that a leave message is repeated to peers before the node may stop. */
 const LEAVE_MS = 1000;
@@ -164,7 +119,7 @@
     };
     this.#context = context;
     this.#antiEntropy = new AntiEntropy(context);
-    this.#suspicion = new SuspicionTimer(context);
+    this.#suspicion = new SuspicionTimer(context, this.#antiEntropy);
     this.#pinger = new Pinger(
       context,
       (datagram) => this.#joiner.introduction(datagram),
--- a/packages/membership/mod.ts
+++ b/packages/membership/mod.ts
@@ -9,6 +9,7 @@
 export * from "./incarnation.ts";
 export * from "./member_view.ts";
 export * from "./membership.ts";
+export * from "./membership_options.ts";
 export * from "./memory_network.ts";
 export * from "./peer_clients.ts";
 export * from "./peer_keys.ts";
