--- a/bench/hop_load.ts
+++ b/bench/hop_load.ts
@@ -4,6 +4,7 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { Pool } from "undici";
+import { ERROR_FIELD } from "@oleanderdeck/protocol";
 
 /** Body of requests and answers. */
 export const BODY = Buffer.alloc(200, 0x6f);
@@ -20,7 +21,8 @@
   readonly target: string;
   readonly headers: readonly string[];
   histogram: Histogram;
-  failed: number;
+  /** Number of failed calls by error kind, or by status without a kind. */
+  failures: Map<string, number>;
 }
 
 /** Load of one round. */
@@ -50,7 +52,7 @@
     target: options.target,
     headers: options.headers ?? [],
     histogram: newHistogram(),
-    failed: 0,
+    failures: new Map(),
   };
 }
 
@@ -74,7 +76,7 @@
 ): Promise<void> {
   paths.forEach((path) => {
     path.histogram = newHistogram();
-    path.failed = 0;
+    path.failures = new Map();
   });
   const generator = xoroshiro128plus(round.seed);
   const meanGapMs = 1000 / (round.rate * paths.length);
@@ -110,7 +112,9 @@
 
 function send(path: Path): void {
   const startedAt = performance.now();
-  let status = 0;
+  let failure: string | undefined;
+  const countFailure = (kind: string) =>
+    path.failures.set(kind, (path.failures.get(kind) ?? 0) + 1);
   path.pool.dispatch({
     path: path.target,
     method: "POST",
@@ -118,18 +122,21 @@
     body: BODY,
   }, {
     onConnect: () => {},
-    onHeaders: (code) => {
-      status = code;
+    onHeaders: (status, lines) => {
+      if (status !== 200) failure = errorKind(lines) ?? String(status);
       return true;
     },
     onData: () => true,
     onComplete: () => {
       const elapsed = (performance.now() - startedAt) * MICROSECONDS_PER_MS;
-      if (status === 200) path.histogram.recordValue(Math.round(elapsed));
-      else path.failed++;
-    },
-    onError: () => {
-      path.failed++;
+      if (failure !== undefined) return countFailure(failure);
+      path.histogram.recordValue(Math.round(elapsed));
     },
+    onError: (error) => countFailure(error.message),
   });
 }
+
+function errorKind(lines: readonly Buffer[]): string | undefined {
+  const index = lines.findIndex((line) => line.toString() === ERROR_FIELD);
+  return index < 0 ? undefined : lines[index + 1]!.toString();
+}
--- a/bench/hop_main.ts
+++ b/bench/hop_main.ts
@@ -48,6 +48,7 @@
   readonly rates: string;
   readonly seed: number;
   readonly profile?: string;
+  readonly paths: string;
 }
 
 /** Path with the process that it leads through. */
@@ -63,6 +64,9 @@
     default: "180,900",
   })
   .option("--seed <seed>", "Seed of the arrival times", { default: 1 })
+  .option("--paths <names>", "Paths beside the direct one, by comma", {
+    default: "bare,edge,node",
+  })
   .option("--profile <directory>", "Writes processor profiles of the proxies")
   .option("--role <role>", "Runs one part of the setup (used internally)")
   .option("--address <address>", "Address for a role", { default: "" })
@@ -152,7 +156,9 @@
   paths: readonly Measured[],
   options: Arguments,
 ): Promise<Figure> {
-  const [direct, ...proxied] = paths;
+  const [direct, ...others] = paths;
+  const names = options.paths.split(",");
+  const proxied = others.filter(({ name }) => names.includes(name));
   const results = proxied.map((path) => newResult(path));
   for (let round = 1; round <= options.rounds; round++) {
     const seed = options.seed * 1000 + round;
@@ -164,7 +170,11 @@
       result.byRound.push(difference(path.histogram, direct!.histogram, 99));
       result.direct.add(direct!.histogram);
       result.total.add(path.histogram);
-      result.failed += path.failed + direct!.failed;
+      [direct!, path].forEach(({ failures }) =>
+        failures.forEach((count, kind) =>
+          result.failures.set(kind, (result.failures.get(kind) ?? 0) + count)
+        )
+      );
     }
   }
   results.forEach((result) => report(rate, result));
@@ -192,7 +202,8 @@
   /** Added p99 of each round in milliseconds. */
   readonly byRound: number[];
   processorTime: number;
-  failed: number;
+  /** Number of failed calls of both paths by error kind. */
+  readonly failures: Map<string, number>;
 }
 
 function newResult(path: Measured): Result {
@@ -202,12 +213,13 @@
     total: newHistogram(),
     byRound: [],
     processorTime: 0,
-    failed: 0,
+    failures: new Map(),
   };
 }
 
 function report(rate: number, result: Result): void {
-  const { path, direct, total, byRound, processorTime, failed } = result;
+  const { path, direct, total, byRound, processorTime, failures } = result;
+  const failed = [...failures].map(([kind, count]) => `${count} ${kind}`);
   const added = (percentile: number) =>
     `p${percentile} ${difference(total, direct, percentile).toFixed(3)} ms`;
   console.log(`${rate}/s direct beside ${path.name}: ${describe(direct)}`);
@@ -216,6 +228,8 @@
     `${rate}/s added by ${path.name}: ${added(50)}, ${added(99)}, ` +
       `p99 by round ${byRound.map((value) => value.toFixed(3)).join(" ")}, ` +
       `processor time ${(processorTime / total.totalCount).toFixed(0)} us ` +
-      `per call, ${total.totalCount} calls, ${failed} failed`,
+      `per call, ${total.totalCount} calls, failed: ${
+        failed.join(", ") || "none"
+      }`,
   );
 }
