--- a/packages/admission/_wait_queue.ts
+++ b/packages/admission/_wait_queue.ts
@@ -54,6 +54,11 @@
     return count;
   }
 
+  /** Number of waiting attempts of a request's priority and organisation. */
+  waiting({ priority, organisation }: AdmissionRequest): number {
+    return this.#accounts[priority]!.get(organisation)?.waiting.length ?? 0;
+  }
+
   /** Calls in progress of an organisation over all priorities. */
   running(organisation: string): number {
     return this.#accounts.reduce(
@@ -102,15 +107,17 @@
     return undefined;
   }
 
-  /** The oldest attempt of all. */
-  oldest(): Entry | undefined {
-    let oldest: Entry | undefined;
-    for (const entry of this.entries()) {
-      if (oldest === undefined || entry.enqueuedAt < oldest.enqueuedAt) {
-        oldest = entry;
+  /** Age of the oldest waiting attempt by priority. */
+  oldestAges(now: number): (number | undefined)[] {
+    return this.#accounts.map((accounts) => {
+      let oldest: number | undefined;
+      for (const { waiting } of accounts.values()) {
+        const first = waiting[0];
+        if (first === undefined) continue;
+        oldest = Math.min(oldest ?? Infinity, first.enqueuedAt);
       }
-    }
-    return oldest;
+      return oldest === undefined ? undefined : now - oldest;
+    });
   }
 
   /** All waiting attempts. */
