--- a/packages/testing/edge_promises_test.ts
+++ b/packages/testing/edge_promises_test.ts
@@ -24,7 +24,7 @@
 
 // Guards against retries that are given back twice: by the field of the refusal
 // and because the refused attempt was not run.
-redTest(
+test(
   "edge: refused forwarded attempts stay within the allowance",
   async () => {
     const edges = newFixture(2, true);
@@ -42,7 +42,7 @@
 );
 
 // Guards against a root that is forgotten while its caller tries again.
-redTest(
+test(
   "edge: a caller's own retries count against the same root",
   async () => {
     const targets = Array.from(
@@ -60,6 +60,25 @@
   },
 );
 
+// Guards against retries of a request that may have run once more than allowed.
+test("edge: sendings that may have run share one allowance", async () => {
+  const edges = newFixture(3, true);
+  const targets = [];
+  for (let index = 0; index < 12; index++) {
+    const address = await edges.rawServer((socket) =>
+      socket.once("data", () => socket.destroy())
+    );
+    targets.push(directTarget(address, `lost-${index}`));
+  }
+  const { admission, url } = await edges.edge({ bookings: targets });
+  const headers = { [REQUEST_FIELD]: "list-1" };
+  await fetch(`${url}/bookings/`, { headers });
+  // The part lent for a lost attempt stays spent.
+  expect(admission.requests.length).toBe(3);
+  await fetch(`${url}/bookings/`, { headers });
+  expect(admission.requests.length).toBeLessThanOrEqual(2 + 3);
+});
+
 async function repeatAtOther(state: "not_ready" | "draining") {
   const edges = newFixture(0, false);
   const backend = await edges.backend({ service: "bookings" });
@@ -84,24 +103,24 @@
 
 // Guards against a caller that is told "not run" about a booking that was run,
 // and books again with a new permit.
-redTest(
+test(
   "edge: a node that is not ready does not deny a run",
   () => repeatAtOther("not_ready"),
 );
-redTest(
+test(
   "edge: a draining node does not deny a run",
   () => repeatAtOther("draining"),
 );
 
 // Guards against a refusal for a limit that the organisation is far below.
-redTest("limit: the first call of an organisation is admitted", async () => {
+test("limit: the first call of an organisation is admitted", async () => {
   const fleet = new SessionFleet({
     deployment: "lunchtable",
-    places: [{
-      nodeId: "wa-a-1",
-      dataCentre: "wa-a",
+    places: ["wa-a-1", "wa-b-1", "wa-c-1"].map((nodeId) => ({
+      nodeId,
+      dataCentre: nodeId.slice(0, 4),
       server: { service: "members", slots: 4, durationMs: 10, calls: [] },
-    }],
+    })),
     seed: 1,
   });
   await fleet.start();
