Wait for answers to be written before the call port closes

Cause: a call counts as ended when its answer is handed to the connection; closing the server then destroys connections whose last bytes are not written, since Node takes them for idle. Change: closing waits for the answers in progress, for at most 5 s after the last call. The test with a slow caller passed before as well, so it guards the behaviour but did not show the fault.

--- a/packages/calls/call_edge.ts
+++ b/packages/calls/call_edge.ts
@@ -45,6 +45,12 @@
  */
 const IDLE_CALLER_MS = 65_000;
 
+/**
+ * Time for slow callers to read the last bytes of their answers while closing,
+ * in milliseconds. Closing the server cuts off answers that are not written.
+ */
+const LAST_BYTES_MS = 5000;
+
 /** Time between two looks at the calls in flight while closing, in ms. */
 const CLOSE_CHECK_MS = 10;
 
@@ -59,7 +65,7 @@
   readonly #control: ControlHandler;
   #draining = false;
   #drainingRoots = false;
-  #controlCalls = 0;
+  #openAnswers = 0;
 
   /** @param options Views and parts of the node. */
   constructor(options: CallEdgeOptions) {
@@ -141,8 +147,11 @@
   /** Refuses new calls as `draining`, and ends when the last call has ended. */
   async close(): Promise<void> {
     this.drain();
-    while (this.#parts.watch.size > 0 || this.#controlCalls > 0) {
-      await this.#options.clock.sleep(CLOSE_CHECK_MS);
+    const { clock } = this.#options;
+    while (this.#parts.watch.size > 0) await clock.sleep(CLOSE_CHECK_MS);
+    const end = clock.now() + LAST_BYTES_MS;
+    while (this.#openAnswers > 0 && clock.now() < end) {
+      await clock.sleep(CLOSE_CHECK_MS);
     }
     const closed = new Promise<void>((resolve) =>
       this.#server.close(() => resolve())
@@ -166,9 +175,9 @@
   }
 
   #accept(request: IncomingMessage, response: ServerResponse): void {
+    this.#openAnswers++;
+    response.once("close", () => this.#openAnswers--);
     if (request.url!.startsWith(CONTROL_PREFIX)) {
-      this.#controlCalls++;
-      response.once("close", () => this.#controlCalls--);
       this.#control(request, response);
       return;
     }
