Let killed processes of sessions get no answers of the store

Cause: a soak reported that a node went back from version 11 of a document to 10. The story showed the watch of the node's earlier, killed run that still put versions in force under the same name: a fault of the stand-in, not of the configuration. Change: answers of the store and of other nodes reach a process when it is resumed, and never after it was killed.

--- /dev/null
+++ b/packages/testing/sessions/process_store.ts
@@ -0,0 +1,88 @@
+import type { Either } from "purify-ts";
+import {
+  DocumentPeer,
+  type DocumentRequest,
+} from "@oleanderdeck/configuration";
+import type { DeckError } from "@oleanderdeck/errors";
+import type { Member } from "@oleanderdeck/protocol";
+import {
+  type PutOptions,
+  Store,
+  type StoredObject,
+  type StoreListing,
+  type WatchOptions,
+} from "@oleanderdeck/store";
+import type { ProcessClock } from "./virtual_clock.ts";
+
+/**
+ * Store as one process sees it: a paused process gets answers when it resumes,
+ * and a killed one none at all.
+ */
+export class ProcessStore extends Store {
+  readonly #store: Store;
+  readonly #clock: ProcessClock;
+
+  constructor(store: Store, clock: ProcessClock) {
+    super();
+    this.#store = store;
+    this.#clock = clock;
+  }
+
+  override get(name: string): Promise<Either<DeckError, StoredObject>> {
+    return this.#receive(this.#store.get(name));
+  }
+
+  override list(prefix: string): Promise<Either<DeckError, StoreListing>> {
+    return this.#receive(this.#store.list(prefix));
+  }
+
+  override put(
+    name: string,
+    value: string,
+    options: PutOptions,
+  ): Promise<Either<DeckError, StoredObject>> {
+    return this.#receive(this.#store.put(name, value, options));
+  }
+
+  override delete(
+    name: string,
+    options: PutOptions,
+  ): Promise<Either<DeckError, StoredObject>> {
+    return this.#receive(this.#store.delete(name, options));
+  }
+
+  override watch(
+    prefix: string,
+    options: WatchOptions,
+  ): Promise<Either<DeckError, StoreListing>> {
+    return this.#receive(this.#store.watch(prefix, options));
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  async #receive<Answer>(pending: Promise<Answer>): Promise<Answer> {
+    const answer = await pending;
+    await this.#clock.awake();
+    return answer;
+  }
+}
+
+/** Documents of other nodes as one process gets them. */
+export class ProcessDocuments extends DocumentPeer {
+  readonly #documents: DocumentPeer;
+  readonly #clock: ProcessClock;
+
+  constructor(documents: DocumentPeer, clock: ProcessClock) {
+    super();
+    this.#documents = documents;
+    this.#clock = clock;
+  }
+
+  override async fetch(member: Member, request: DocumentRequest) {
+    const answer = await this.#documents.fetch(member, request);
+    await this.#clock.awake();
+    return answer;
+  }
+}
--- a/packages/testing/sessions/session_node.ts
+++ b/packages/testing/sessions/session_node.ts
@@ -23,6 +23,7 @@
 import type { Store } from "@oleanderdeck/store";
 import type { SessionAnswer, SessionCall } from "./session_call.ts";
 import { NodeCall } from "./node_call.ts";
+import { ProcessDocuments, ProcessStore } from "./process_store.ts";
 import type { CallReceiver, SessionNetwork } from "./session_network.ts";
 import { SessionPeer } from "./session_peer.ts";
 import type { SessionRecorder } from "./session_recorder.ts";
@@ -117,10 +118,10 @@
     this.replica.onChange(({ name }) => this.#recordInForce(name));
     this.configuration = new ConfigurationService({
       replica: this.replica,
-      store: uses.store,
+      store: new ProcessStore(uses.store, clock),
       members: this.peer,
       channel,
-      peer: uses.documents,
+      peer: new ProcessDocuments(uses.documents, clock),
       clock,
       random: random(1),
     });
