--- a/packages/admission/_shedding.ts
+++ b/packages/admission/_shedding.ts
@@ -11,8 +11,18 @@
 /** Length of the interval of standing delay, as in CoDel. */
 export const SHED_INTERVAL_MS = 100;
 
-/** Delay that may stand for an interval, as in CoDel. */
-export const TARGET_DELAY_MS = 5;
+/** Delay that may always stand for an interval, as in CoDel. */
+const TARGET_DELAY_MS = 5;
+
+/**
+ * Delay that may stand relative to the duration of a call. Slots that are busy
+ * all the time need a queue of this order, since each is freed only once per
+ * duration.
+ */
+const TARGET_DELAY_SHARE = 0.5;
+
+/** Most delay that may stand, so that a slow service sheds early as well. */
+const MOST_TARGET_DELAY_MS = 50;
 
 /**
  * Step by which a threshold relaxes per interval without standing delay: all
@@ -35,6 +45,9 @@
   return request.priority * SHED_KEYS + request.shedKey;
 }
 
+/** Fractional part of the golden ratio; its multiples are spread evenly. */
+const GOLDEN_RATIO = 0.618033988749895;
+
 interface OrganisationArrivals {
   readonly organisation: string;
   /** Decayed arrivals by priority. */
@@ -56,6 +69,7 @@
   /** Least delay of the starts in this interval, by priority. */
   #leastDelaysMs = [Infinity, Infinity, Infinity, Infinity];
   #sharesFor = -1;
+  #dither = 0;
   readonly #shares = new Map<string, number>();
 
   /** @param weight Weight of an organisation, above 0. */
@@ -99,17 +113,25 @@
    *
    * @param oldestDelaysMs Age of the oldest waiting attempt by priority;
    * undefined where none waits.
+   * @param durationMs Expected duration of a call.
    */
-  endInterval(oldestDelaysMs: readonly (number | undefined)[]): void {
+  endInterval(
+    oldestDelaysMs: readonly (number | undefined)[],
+    durationMs: number,
+  ): void {
+    const targetMs = Math.max(
+      TARGET_DELAY_MS,
+      Math.min(MOST_TARGET_DELAY_MS, durationMs * TARGET_DELAY_SHARE),
+    );
     const oldest = oldestDelaysMs.filter((delayMs) => delayMs !== undefined);
     const least = Math.min(...this.#leastDelaysMs);
     // Without a start in the interval, the waiting attempts show the delay.
     const delayMs = Number.isFinite(least) ? least : Math.max(0, ...oldest);
-    if (oldest.length > 0 && delayMs > TARGET_DELAY_MS) {
+    if (oldest.length > 0 && delayMs > targetMs) {
       const standing = oldestDelaysMs.findIndex((oldestMs, priority) => {
         const startedMs = this.#leastDelaysMs[priority]!;
         return oldestMs !== undefined &&
-          (Number.isFinite(startedMs) ? startedMs : oldestMs) > TARGET_DELAY_MS;
+          (Number.isFinite(startedMs) ? startedMs : oldestMs) > targetMs;
       });
       // Priorities without standing delay fit and are not shed.
       const level = Math.max(
@@ -152,7 +174,10 @@
     if (this.#sharesFor !== threshold) this.#divide(threshold);
     const share = this.#shares.get(request.organisation) ??
       threshold % SHED_KEYS;
-    return request.shedKey >= share;
+    // A key stands for an interval of width 1, so that a share of less than
+    // one key is not rounded up.
+    this.#dither = (this.#dither + GOLDEN_RATIO) % 1;
+    return request.shedKey + this.#dither >= share;
   }
 
   #divide(threshold: number): void {
