--- a/packages/leases/slot_lease_owner.ts
+++ b/packages/leases/slot_lease_owner.ts
@@ -159,6 +159,11 @@
     return Math.max(1, Math.floor(Math.min(worker.slots * warmth, limit)));
   }
 
+  /** Calls in progress: own ones and those that holders reported last. */
+  inUse(): number {
+    return this.#ownRunning + this.#ledger.inUse();
+  }
+
   /** Slots that holders may use at this moment. */
   leasedSlots(): number {
     return this.#ledger.committed(this.#options.clock.now());
--- /dev/null
+++ b/packages/membership/_prober.ts
@@ -0,0 +1,234 @@
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { type Member, MemberState } from "@oleanderdeck/protocol";
+import { isPeer, type MembershipContext } from "./_context.ts";
+import { Latch } from "./_latch.ts";
+import { MAXIMUM_HEALTH_SCORE } from "./_local_health.ts";
+import { encodeMember, isLive, toClaim } from "./_member_record.ts";
+import { type MemberEntry, shuffle } from "./_member_table.ts";
+import { AnswerWait, INDIRECT_TIMEOUT_MS, type Pinger } from "./_pinger.ts";
+
+/** Time between two probes of a node. */
+const PROBE_INTERVAL_MS = 1000;
+
+/** Time in which a member has to answer before others are asked to probe it. */
+const DIRECT_TIMEOUT_MS = 250;
+
+/** Peers that are asked to probe a member that did not answer. */
+const INDIRECT_PROBES = 3;
+
+// Direct pings that are sent again while the indirect ones are under way. With
+// 20% loss each way, a probe of a live member fails in 1 of 100 cases instead of
+// 7, and the refutations stay within the update budget.
+const REPEATED_PINGS = 2;
+
+/** Points by which a round without any datagram raises the health score. */
+const ISOLATION_POINTS = 2;
+
+// Members that tell a suspect of the suspicion, on average, beside the one that
+// suspects it: gossip leaves suspects out, and with 20% loss the one message of
+// the accuser was lost with its repetitions now and then.
+const TELLERS = 8;
+
+/** Suspects in a data centre from which on it may have failed as a whole. */
+const ALARM_SUSPECTS = 3;
+
+const ALARM_PROBES = 16;
+const ALARM_PROBE_INTERVAL_MS = 200;
+
+/** Probes members, and suspects those that do not answer. */
+export class Prober {
+  readonly #context: MembershipContext;
+  readonly #pinger: Pinger;
+  readonly #suspects = new Map<string, string>();
+  readonly #alarm = new Latch();
+  #alarmDataCentre = "";
+  #round = 0;
+  #rotation: MemberEntry[] = [];
+
+  constructor(context: MembershipContext, pinger: Pinger) {
+    this.#context = context;
+    this.#pinger = pinger;
+  }
+
+  /** Probes one member per interval until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, health } = this.#context;
+    while (!signal.aborted) {
+      const startMs = clock.now();
+      const target = this.#nextTarget();
+      if (target !== undefined) {
+        await this.#probe(target, signal, this.#newsFor(target));
+      }
+      const restMs = startMs + PROBE_INTERVAL_MS - clock.now();
+      if (restMs <= 0) continue;
+      const sleptMs = clock.now();
+      await clock.sleep(restMs, signal);
+      health.noteTimer(restMs, clock.now() - sleptMs);
+    }
+  }
+
+  /**
+   * Probes the members of a data centre at a higher rate for a few seconds when
+   * several of them are suspected at once, until the signal is aborted. One
+   * probe per second leaves some members of a lost data centre without any probe
+   * for longer than a failure may stay unknown.
+   */
+  async runAlarm(signal: AbortSignal): Promise<void> {
+    const { clock, random, table } = this.#context;
+    while (!signal.aborted) {
+      await this.#alarm.wait(signal);
+      for (let probe = 0; probe < ALARM_PROBES && !signal.aborted; probe++) {
+        const [target] = table.sample(
+          random,
+          1,
+          (entry) =>
+            isPeer(this.#context, entry) &&
+            entry.member.state === MemberState.ALIVE &&
+            entry.member.dataCentre === this.#alarmDataCentre,
+        );
+        // News would be wasted on targets that are probably dead.
+        if (target !== undefined) void this.#probe(target, signal, []);
+        await clock.sleep(ALARM_PROBE_INTERVAL_MS, signal);
+      }
+    }
+  }
+
+  /** Takes note of suspicions after a change of a record. */
+  note(member: Member): void {
+    const { dataCentre, nodeId, state } = member;
+    if (state !== MemberState.SUSPECT) {
+      this.#suspects.delete(nodeId);
+      return;
+    }
+    const { random, table } = this.#context;
+    if (
+      !this.#suspects.has(nodeId) &&
+      uniformInt(random, 1, table.liveCount) <= TELLERS
+    ) {
+      this.#tell(member);
+    }
+    this.#suspects.set(nodeId, dataCentre);
+    const suspects = [...this.#suspects.values()]
+      .filter((other) => other === dataCentre);
+    if (suspects.length < ALARM_SUSPECTS) return;
+    this.#alarmDataCentre = dataCentre;
+    this.#alarm.open();
+  }
+
+  async #probe(
+    target: MemberEntry,
+    signal: AbortSignal,
+    news: readonly Uint8Array[],
+  ): Promise<void> {
+    const { health, table } = this.#context;
+    const { member } = target;
+    const startMs = this.#context.clock.now();
+    const wait = new AnswerWait(member.nodeId);
+    const accusation = member.state === MemberState.ALIVE
+      ? []
+      : [encodeMember(toClaim(member))];
+    this.#pinger.send(member.peerAddress, wait, [...accusation, ...news]);
+    const isValid = await this.#sleep(DIRECT_TIMEOUT_MS, wait) &&
+      (wait.isAnswered || await this.#probeIndirectly(target, wait));
+    this.#pinger.end(wait);
+    if (signal.aborted) return;
+    if (wait.isAnswered) {
+      health.recover();
+      if (wait.roundTripMs !== undefined) {
+        table.noteRoundTrip(target, wait.roundTripMs);
+      }
+    } else if (isValid) {
+      this.#suspect(target, startMs);
+    }
+  }
+
+  #newsFor({ member }: MemberEntry): readonly Uint8Array[] {
+    return member.state === MemberState.ALIVE
+      ? this.#context.disseminator.piggyback()
+      : [];
+  }
+
+  /** Returns false if the node itself was late. */
+  async #probeIndirectly(
+    target: MemberEntry,
+    wait: AnswerWait,
+  ): Promise<boolean> {
+    const { random, table } = this.#context;
+    const { peerAddress } = target.member;
+    const relays = table.sample(
+      random,
+      INDIRECT_PROBES,
+      (entry) => isPeer(this.#context, entry) && entry !== target,
+    );
+    for (const { member } of relays) {
+      this.#pinger.sendIndirect(member.peerAddress, peerAddress, wait);
+    }
+    for (let repeat = 0; repeat < REPEATED_PINGS; repeat++) {
+      this.#pinger.send(peerAddress, wait);
+      if (!await this.#sleep(INDIRECT_TIMEOUT_MS / REPEATED_PINGS, wait)) {
+        return false;
+      }
+      if (wait.isAnswered) break;
+    }
+    return true;
+  }
+
+  /** Returns false if the node itself was late. */
+  async #sleep(timeoutMs: number, wait: AnswerWait): Promise<boolean> {
+    const { clock, health } = this.#context;
+    const startMs = clock.now();
+    const sleepMs = timeoutMs * health.multiplier;
+    await clock.sleep(sleepMs, wait.ended.signal);
+    return !health.noteTimer(sleepMs, clock.now() - startMs);
+  }
+
+  #suspect(target: MemberEntry, sinceMs: number): void {
+    const { applyOwn, health, table } = this.#context;
+    // A node that heard of nobody is more likely cut off than its target dead.
+    // With only one peer the two cases cannot be told apart.
+    const isIsolated = this.#pinger.lastReceivedMs < sinceMs &&
+      table.liveCount > 2;
+    if (isIsolated && health.score < MAXIMUM_HEALTH_SCORE) {
+      return health.raise(ISOLATION_POINTS);
+    }
+    const { member } = target;
+    if (member.state !== MemberState.ALIVE) return;
+    const suspect = { ...member, state: MemberState.SUSPECT };
+    applyOwn(toClaim(suspect));
+    this.#tell(suspect);
+  }
+
+  /** Tells a suspect of the suspicion, so that it can refute it. */
+  #tell(member: Member): void {
+    const updates = [encodeMember(toClaim(member))];
+    void this.#pinger.ping(member.peerAddress, member.nodeId, {
+      timeoutMs: DIRECT_TIMEOUT_MS,
+      updates,
+    });
+  }
+
+  // Every other probe goes to the next live member on a ring, so that the death
+  // of a single member is noticed within two intervals; random targets alone
+  // leave a member without any probe for 4 s in 2 of 100 cases. The probes in
+  // between follow a random rotation, which covers neighbours that die together.
+  #nextTarget(): MemberEntry | undefined {
+    const { random, self, table } = this.#context;
+    this.#round += 1;
+    const own = table.get(self().nodeId);
+    if (own !== undefined && this.#round % 2 === 0) {
+      const successor = table.successor(own);
+      if (successor !== undefined) return successor;
+    }
+    for (let attempt = 0; attempt < 2; attempt++) {
+      while (this.#rotation.length > 0) {
+        const entry = this.#rotation.pop()!;
+        if (isLive(entry.member)) return entry;
+      }
+      this.#rotation = shuffle(
+        random,
+        table.live().filter((entry) => isPeer(this.#context, entry)),
+      );
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/testing/sessions/node_call.ts
@@ -0,0 +1,297 @@
+import type { AdmittedAttempt } from "@oleanderdeck/admission";
+import type {
+  PolicyView,
+  RequestRule,
+  ServicePolicy,
+} from "@oleanderdeck/agreement";
+import { DeckError } from "@oleanderdeck/errors";
+import type { Outcome, Permit } from "@oleanderdeck/idempotency";
+import { MemberState } from "@oleanderdeck/protocol";
+import { Allowance } from "@oleanderdeck/retries";
+import {
+  rejection,
+  type SessionAnswer,
+  type SessionCall,
+} from "./session_call.ts";
+import { NodeAttempt } from "./node_attempt.ts";
+import { answerOf, outcomeOf } from "./permit_outcome.ts";
+import type { SessionNode } from "./session_node.ts";
+
+/** Expected duration of an attempt, in milliseconds. */
+const EXPECTED_MS = 10;
+
+/**
+ * One call at a node, over all attempts. Follows the same steps as the calls of
+ * the HTTP edge: permit, admission, attempt, retry.
+ */
+export class NodeCall {
+  readonly #node: SessionNode;
+  readonly #call: SessionCall;
+  readonly #deadline: number;
+  readonly #view: PolicyView;
+  readonly #shedKey: number;
+  #policy!: ServicePolicy;
+  #rule!: RequestRule;
+  #allowance: Allowance | undefined;
+  #permit: Permit | undefined;
+  #issuer: AdmittedAttempt | undefined;
+  #permitText: string | undefined;
+  #attempts = 0;
+  #mayHaveRun = false;
+
+  constructor(node: SessionNode, call: SessionCall) {
+    this.#node = node;
+    this.#call = call;
+    this.#deadline = node.clock.now() + call.timeoutMs;
+    this.#view = node.replica.view();
+    this.#shedKey = call.parent?.shedKey ?? call.sending * 37 % 128;
+  }
+
+  /** Runs the call to its end. */
+  async run(): Promise<SessionAnswer> {
+    const answer = await this.#run();
+    return answer.error === undefined
+      ? answer
+      : { ...answer, statedAt: answer.statedAt ?? this.#node.clock.now() };
+  }
+
+  async #run(): Promise<SessionAnswer> {
+    const { organisation, service, method, path, mode, parent } = this.#call;
+    const node = this.#node;
+    if (!node.replica.isReady()) return this.#refuseUnseen("not_ready");
+    if (node.draining && parent === undefined) {
+      return this.#refuseUnseen("draining");
+    }
+    const policy = this.#view.service(service);
+    if (policy === undefined) {
+      return rejection(new DeckError("no_such_service"));
+    }
+    this.#policy = policy;
+    this.#rule = this.#view.rule({ organisation, service, method, path });
+    const limit = node.clock.sleep(this.#deadline - node.clock.now())
+      .then(() => "deadline" as const);
+    const work = this.#rule.idempotent || mode === "serve"
+      ? this.#attemptAll(limit)
+      : this.#runOnce(limit);
+    const answer = await work;
+    return mode === undefined || parent === undefined
+      ? answer
+      : { ...answer, ...this.#peerFields(parent.callId, parent.lentRetries) };
+  }
+
+  /**
+   * Refuses a call before it begins. Whether a request with a permit was run is
+   * known to the issuer of the permit only.
+   */
+  #refuseUnseen(kind: "not_ready" | "draining"): SessionAnswer {
+    const { ledger } = this.#node;
+    const { permit } = this.#call;
+    const unused = permit === undefined ||
+      ledger.check(permit).map((checked) =>
+        ledger.isOwn(checked) && ledger.outcome(checked) === undefined
+      ).orDefault(false);
+    return rejection(new DeckError(kind, unused ? {} : { run: "unknown" }));
+  }
+
+  #peerFields(callId: Uint8Array, lent: number) {
+    return {
+      threshold: this.#node.admission.threshold(this.#call.service),
+      unusedRetries: Math.min(this.#node.allowances.close(callId), lent),
+    };
+  }
+
+  async #runOnce(limit: Promise<"deadline">): Promise<SessionAnswer> {
+    const { ledger } = this.#node;
+    const { permit, organisation, method, service, path } = this.#call;
+    this.#permitText = permit ?? ledger.issue();
+    const named = { permit: this.#permitText };
+    if (permit === undefined && this.#rule.permit === "required") {
+      return rejection(new DeckError("permit_required"), named);
+    }
+    const checked = ledger.check(this.#permitText);
+    if (checked.isLeft()) {
+      return rejection(checked.swap().unsafeCoerce(), named);
+    }
+    const parsed = checked.unsafeCoerce();
+    if (!ledger.isOwn(parsed)) {
+      const error = this.#findIssuer(parsed);
+      if (error !== undefined) return rejection(error, named);
+      return { ...await this.#attemptAll(limit), ...named };
+    }
+    const begin = ledger.begin(
+      parsed,
+      `${organisation} ${method} ${service}${path}`,
+    );
+    switch (begin.action) {
+      case "refuse":
+        return rejection(begin.error, named);
+      case "answer":
+        return { ...answerOf(begin.outcome), ...named };
+      case "join": {
+        const outcome = await Promise.race([
+          new Promise<Outcome>((resolve) => begin.onOutcome(resolve)),
+          limit,
+        ]);
+        return {
+          ...outcome === "deadline"
+            ? rejection(new DeckError("deadline_exceeded"))
+            : answerOf(outcome),
+          ...named,
+        };
+      }
+      case "run": {
+        this.#permit = parsed;
+        const answer = await this.#attemptAll(limit);
+        ledger.finish(parsed, outcomeOf(answer));
+        return { ...answer, ...named };
+      }
+    }
+  }
+
+  #findIssuer(permit: Permit): DeckError | undefined {
+    const member = this.#node.peer.find(permit.nodeId);
+    if (this.#call.mode !== undefined) {
+      return new DeckError("malformed_request");
+    }
+    if (
+      member === undefined || member.incarnation !== permit.incarnation ||
+      member.state === MemberState.DEAD || member.state === MemberState.LEFT
+    ) return new DeckError("outcome_unknown");
+    this.#issuer = {
+      target: {
+        kind: "forward",
+        nodeId: member.nodeId,
+        incarnation: member.incarnation,
+        address: member.callAddress,
+        fence: "",
+      },
+      finish: () => {},
+    };
+    return undefined;
+  }
+
+  async #attemptAll(limit: Promise<"deadline">): Promise<SessionAnswer> {
+    const { clock, retryBudget, retryPolicy } = this.#node;
+    const { organisation, mode } = this.#call;
+    let excluded: readonly string[] = [];
+    let failure: DeckError | undefined;
+    while (true) {
+      const admitted = this.#issuer ?? await this.#admit(excluded, limit);
+      if (admitted instanceof DeckError) {
+        if (failure !== undefined) this.#allowance?.giveBack(1);
+        return this.#reject(failure ?? admitted);
+      }
+      this.#allowance ??= this.#openAllowance();
+      if (++this.#attempts === 1) retryBudget.countFirst(organisation);
+      const result = await new NodeAttempt(this.#node, this.#call, {
+        admitted,
+        allowance: this.#allowance,
+        attempt: this.#attempts,
+        deadline: this.#deadline,
+        progressTimeoutMs: this.#policy.progressTimeoutMs,
+        priority: this.#call.parent?.priority ?? this.#rule.priority,
+        shedKey: this.#shedKey,
+        issuedPermit: this.#issuer === undefined ? undefined : this.#permitText,
+      }).run(limit);
+      if (result.error !== undefined && result.error.run !== "no") {
+        this.#mayHaveRun = true;
+      }
+      if (result.error === undefined) return result.answer;
+      if (this.#issuer !== undefined) {
+        if (!result.stated) {
+          return this.#reject(new DeckError("outcome_unknown"));
+        }
+        const { statedAt } = result;
+        return {
+          ...this.#reject(result.error),
+          ...statedAt === undefined ? {} : { statedAt },
+        };
+      }
+      failure = result.error;
+      const delay = result.retry && mode !== "serve"
+        ? retryPolicy.delayMs({
+          kind: failure.kind,
+          run: failure.run,
+          idempotent: this.#rule.idempotent,
+          bodyResendable: this.#call.bodyBytes <= 65_536,
+          attempt: this.#attempts,
+          timeLeftMs: this.#deadline - clock.now(),
+          expectedDurationMs: EXPECTED_MS,
+        })
+        : undefined;
+      if (delay === undefined) return this.#reject(failure);
+      excluded = [...excluded, admitted.target.nodeId];
+      const allowance = this.#allowance;
+      if (allowance.remaining === 0 && allowance.recoverable) {
+        await allowance.recover(this.#node.uses.settlement);
+      }
+      if (!allowance.take()) return this.#reject(failure);
+      if (!retryBudget.take(organisation)) {
+        allowance.giveBack(1);
+        return this.#reject(failure);
+      }
+      await clock.sleep(delay);
+    }
+  }
+
+  async #admit(
+    excludedNodes: readonly string[],
+    limit: Promise<"deadline">,
+  ): Promise<AdmittedAttempt | DeckError> {
+    const { admission, nodeId, uses: { recorder } } = this.#node;
+    const { service, organisation, mode, parent, work } = this.#call;
+    const ticket = recorder.nextNumber();
+    const forwarded = mode === "serve";
+    const priority = parent?.priority ?? this.#rule.priority;
+    recorder.record({
+      kind: "admission_asked",
+      node: nodeId,
+      queue: forwarded ? `${service} forwarded` : service,
+      ticket,
+      sending: this.#call.sending,
+      priority,
+      work,
+    });
+    const withdrawal = new AbortController();
+    void limit.then(() => withdrawal.abort());
+    const answer = await admission.admit({
+      service,
+      organisation,
+      priority,
+      shedKey: this.#shedKey,
+      deadline: this.#deadline,
+      excludedNodes,
+      countsForLimit: !this.#call.child && this.#attempts === 0 && !forwarded,
+      forwarded,
+      callingService: mode === undefined ? parent?.service : undefined,
+    }, withdrawal.signal);
+    recorder.record({
+      kind: "admission_answered",
+      ticket,
+      refusal: answer.isLeft() ? answer.swap().unsafeCoerce().kind : undefined,
+    });
+    return answer.extract();
+  }
+
+  #reject(last: DeckError): SessionAnswer {
+    const error = this.#mayHaveRun && last.run === "no" &&
+        !this.#node.uses.variant.deniesLostRuns
+      ? new DeckError(last.kind, { run: "unknown" })
+      : last;
+    return rejection(error);
+  }
+
+  #openAllowance(): Allowance {
+    const { parent } = this.#call;
+    const node = this.#node;
+    const mine = parent === undefined ||
+      parent.audience === node.nodeId &&
+        parent.audienceIncarnation === node.incarnation;
+    if (!mine) return new Allowance(0);
+    return node.retryPolicy.allowance({
+      policyRetries: this.#policy.retries,
+      requestedRetries: undefined,
+      parent,
+    });
+  }
+}
--- /dev/null
+++ b/packages/testing/soak_test.ts
@@ -0,0 +1,47 @@
+import { expect, test } from "vitest";
+import { PermitLedger } from "@oleanderdeck/idempotency";
+import { INVARIANTS } from "./invariants/mod.ts";
+import { runKnownRed } from "./known_red.ts";
+import { soak } from "./sessions/mod.ts";
+
+const TIMEOUT_MS = 180_000;
+
+/** Ledger that treats each request as the first one. */
+class ForgetfulLedger extends PermitLedger {
+  override begin(...request: Parameters<PermitLedger["begin"]>) {
+    return { ...super.begin(...request), action: "run" } as const;
+  }
+}
+
+// Begins with the first test that waits for it.
+let report: ReturnType<typeof soak> | undefined;
+
+// Guards against promises that break only under combined faults. The whole
+// number of schedules is run by bench/soak_main.ts.
+for (const { name } of INVARIANTS) {
+  const title = `soak: ${name}`;
+  test(title, () =>
+    runKnownRed(title, async () => {
+      report ??= soak({ schedules: 300, seed: 20_261_204, shrinkMs: 5_000 });
+      const { broken, schedules } = await report;
+      const found = broken.find(({ invariant }) => invariant === name);
+      expect(found === undefined, `${found?.replay}\n${found?.story}`)
+        .toBe(true);
+      expect(schedules).toBe(300);
+    }), TIMEOUT_MS);
+}
+
+// Guards against a soak that finds nothing, or nothing that can be read.
+test("a ledger that forgets is found with a short story", async () => {
+  const { broken } = await soak({
+    schedules: 20,
+    seed: 1,
+    variant: { ledger: (node) => new ForgetfulLedger(node) },
+    shrinkMs: 10_000,
+  });
+  const found = broken.find(({ invariant }) =>
+    invariant === "non-idempotent requests run at most once"
+  );
+  expect(found?.replay).toMatch(/^seed 1, path \d/);
+  expect(found?.story.split("\n").length).toBeLessThan(60);
+}, TIMEOUT_MS);
