--- a/packages/admission/_service_admission.ts
+++ b/packages/admission/_service_admission.ts
@@ -1,5 +1,5 @@
 import { Either, Left, Right } from "purify-ts";
-import type { Priority } from "@oleanderdeck/agreement";
+import { type Priority, SHED_KEYS } from "@oleanderdeck/agreement";
 import { DeckError, type ErrorKind } from "@oleanderdeck/errors";
 import type { DemandEntry } from "@oleanderdeck/leases";
 import type { AdmissionContext } from "./_admission_context.ts";
@@ -133,8 +133,13 @@
     threshold: number,
   ): DeckError | undefined {
     const now = this.#context.clock.now();
-    if (this.#shedding.refuses(request, threshold)) {
-      const local = threshold >= this.#shedding.threshold;
+    const local = threshold >= this.#shedding.threshold;
+    // The queue is fair over organisations, so one without a waiting attempt
+    // does not cause the delay of its own priority.
+    const exempt = local &&
+      request.priority === Math.floor(threshold / SHED_KEYS) &&
+      this.#queue.waiting(request) === 0;
+    if (!exempt && this.#shedding.refuses(request, threshold)) {
       return new DeckError(local ? "shed_low_priority" : "downstream_pressure");
     }
     if (!this.#context.mechanisms.deadlines) return undefined;
@@ -175,7 +180,9 @@
     this.#start();
     this.#shedding.recordArrival(request);
     const refusal = this.refusal(request, threshold);
-    if (refusal !== undefined) return Left(refusal);
+    if (refusal !== undefined && !this.#makeWay(request, refusal)) {
+      return Left(refusal);
+    }
     if (signal?.aborted) return Left(cancelled());
     if (this.#unavailable(request)) {
       return Left(new DeckError(this.#unavailable(request)!));
@@ -233,6 +240,17 @@
     this.#task?.abort();
   }
 
+  // A request is not shed while a less important one waits; that one is refused
+  // in its place.
+  #makeWay(request: AdmissionRequest, refusal: DeckError): boolean {
+    if (refusal.kind !== "shed_low_priority") return false;
+    const victim = this.#queue.victim(request);
+    if (victim === undefined) return false;
+    if (victim.request.priority <= request.priority) return false;
+    this.#refuse(victim, "shed_low_priority");
+    return true;
+  }
+
   #place(
     request: AdmissionRequest,
     signal: AbortSignal | undefined,
@@ -374,6 +392,15 @@
     for (const entry of expired) this.#refuse(entry, "deadline_too_short");
   }
 
+  // Waiting attempts of priorities that are wholly shed would otherwise run while
+  // nodes upstream refuse more important ones by the same threshold.
+  #refuseShedPriorities(): void {
+    const partial = Math.floor(this.#shedding.threshold / SHED_KEYS);
+    const shed = [...this.#queue.entries()]
+      .filter((entry) => entry.request.priority > partial);
+    for (const entry of shed) this.#refuse(entry, "shed_low_priority");
+  }
+
   /** Time left without which a start would be in vain. */
   #leastMs(now: number): number {
     return this.#context.mechanisms.deadlines ? this.#durations.mostMs(now) : 0;
@@ -383,7 +410,11 @@
     this.#intervalEndsAt = now + SHED_INTERVAL_MS;
     const before = this.threshold();
     if (this.#context.mechanisms.shedding) {
-      this.#shedding.endInterval(this.#queue.oldestAges(now));
+      this.#shedding.endInterval(
+        this.#queue.oldestAges(now),
+        this.#durations.expectedMs(now),
+      );
+      this.#refuseShedPriorities();
     }
     this.#startsPerMs += RATE_WEIGHT *
       (this.#starts / SHED_INTERVAL_MS - this.#startsPerMs);
--- a/packages/admission/capacity_admission.ts
+++ b/packages/admission/capacity_admission.ts
@@ -292,6 +292,9 @@
   }
 
   #thresholdFor(request: AdmissionRequest): number {
+    // Thresholds change while a request is on its way down the chain, and
+    // refusing it there wastes the work done for it. The first hop refuses it.
+    if (request.callingService !== undefined) return OPEN_THRESHOLD;
     if (request.forwarded) return this.#ownThreshold();
     return this.#services.get(request.service)?.threshold() ?? OPEN_THRESHOLD;
   }
--- a/packages/calls/call_edge.ts
+++ b/packages/calls/call_edge.ts
@@ -6,11 +6,12 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { type Either, Left } from "purify-ts";
-import { DeckError, ERROR_ANSWERS } from "@oleanderdeck/errors";
+import { DeckError, ERROR_ANSWERS, type ErrorKind } from "@oleanderdeck/errors";
 import {
   CONTEXT_FIELD,
   CONTROL_PREFIX,
   PEER_FIELD,
+  REQUEST_FIELD,
 } from "@oleanderdeck/protocol";
 import { CallerRetries } from "@oleanderdeck/retries";
 import { Call } from "./_call.ts";
@@ -44,6 +45,12 @@
  */
 const IDLE_CALLER_MS = 65_000;
 
+/**
+ * Time for slow callers to read the last bytes of their answers while closing,
+ * in milliseconds. Closing the server cuts off answers that are not written.
+ */
+const LAST_BYTES_MS = 5000;
+
 /** Time between two looks at the calls in flight while closing, in ms. */
 const CLOSE_CHECK_MS = 10;
 
@@ -58,7 +65,7 @@
   readonly #control: ControlHandler;
   #draining = false;
   #drainingRoots = false;
-  #controlCalls = 0;
+  #openAnswers = 0;
 
   /** @param options Views and parts of the node. */
   constructor(options: CallEdgeOptions) {
@@ -140,8 +147,11 @@
   /** Refuses new calls as `draining`, and ends when the last call has ended. */
   async close(): Promise<void> {
     this.drain();
-    while (this.#parts.watch.size > 0 || this.#controlCalls > 0) {
-      await this.#options.clock.sleep(CLOSE_CHECK_MS);
+    const { clock } = this.#options;
+    while (this.#parts.watch.size > 0) await clock.sleep(CLOSE_CHECK_MS);
+    const end = clock.now() + LAST_BYTES_MS;
+    while (this.#openAnswers > 0 && clock.now() < end) {
+      await clock.sleep(CLOSE_CHECK_MS);
     }
     const closed = new Promise<void>((resolve) =>
       this.#server.close(() => resolve())
@@ -165,20 +175,26 @@
   }
 
   #accept(request: IncomingMessage, response: ServerResponse): void {
+    this.#openAnswers++;
+    response.once("close", () => this.#openAnswers--);
     if (request.url!.startsWith(CONTROL_PREFIX)) {
-      this.#controlCalls++;
-      response.once("close", () => this.#controlCalls--);
       this.#control(request, response);
       return;
     }
     if (this.#draining || (this.#drainingRoots && isRoot(request))) {
-      return this.#refuse(response, new DeckError("draining"));
+      return this.#refuse(response, this.#withRun(request, "draining"));
     }
     if (this.#options.ready?.() === false) {
-      return this.#refuse(response, new DeckError("not_ready"));
+      return this.#refuse(response, this.#withRun(request, "not_ready"));
     }
     this.#read(request).caseOf({
-      Left: (error) => this.#refuse(response, error),
+      Left: (error) =>
+        this.#refuse(
+          response,
+          error.run === "no"
+            ? this.#withRun(request, error.kind, error)
+            : error,
+        ),
       Right: (intake) =>
         new Call(this.#parts, intake, request, response).start(),
     });
@@ -195,6 +211,20 @@
     }
   }
 
+  // An earlier sending of the same permit may have run, here or elsewhere.
+  #withRun(
+    { headers }: IncomingMessage,
+    kind: ErrorKind,
+    error?: DeckError,
+  ): DeckError {
+    const identity = headers[REQUEST_FIELD];
+    const run = this.#options.ledger.runOf(
+      typeof identity === "string" ? identity : undefined,
+    );
+    if (run === "no" && error !== undefined) return error;
+    return new DeckError(kind, { run, message: error?.message, cause: error });
+  }
+
   #refuse(response: ServerResponse, error: DeckError): void {
     this.#options.metrics.countRefusal(error.kind, "");
     response.on("error", () => {});
--- a/packages/testing/sessions/session_node.ts
+++ b/packages/testing/sessions/session_node.ts
@@ -1,7 +1,10 @@
 import { create } from "@bufbuild/protobuf";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { CapacityAdmission } from "@oleanderdeck/admission";
+import {
+  type AdmissionMechanisms,
+  CapacityAdmission,
+} from "@oleanderdeck/admission";
 import {
   ConfigurationReplica,
   ConfigurationService,
@@ -20,6 +23,7 @@
 import type { Store } from "@oleanderdeck/store";
 import type { SessionAnswer, SessionCall } from "./session_call.ts";
 import { NodeCall } from "./node_call.ts";
+import { ProcessDocuments, ProcessStore } from "./process_store.ts";
 import type { CallReceiver, SessionNetwork } from "./session_network.ts";
 import { SessionPeer } from "./session_peer.ts";
 import type { SessionRecorder } from "./session_recorder.ts";
@@ -33,6 +37,9 @@
 export interface SessionNodeVariant {
   readonly ledger?: (node: SessionNode) => PermitLedger;
   readonly retryPolicy?: RetryPolicy;
+  readonly mechanisms?: Partial<AdmissionMechanisms>;
+  /** Whether a leaving server counts as a serving one. */
+  readonly ignoresLeaves?: boolean;
   /** Whether bodies that were cut end like whole ones. */
   readonly endsCutBodies?: boolean;
   /** Whether a lost answer is reported as not run. */
@@ -111,10 +118,10 @@
     this.replica.onChange(({ name }) => this.#recordInForce(name));
     this.configuration = new ConfigurationService({
       replica: this.replica,
-      store: uses.store,
+      store: new ProcessStore(uses.store, clock),
       members: this.peer,
       channel,
-      peer: uses.documents,
+      peer: new ProcessDocuments(uses.documents, clock),
       clock,
       random: random(1),
     });
@@ -124,6 +131,7 @@
       clock,
       random: random(2),
       policies: () => this.replica.view(),
+      mechanisms: uses.variant.mechanisms ?? {},
     });
     this.ledger = uses.variant.ledger?.(this) ??
       new PermitLedger({ nodeId, incarnation, clock });
@@ -162,7 +170,7 @@
       slots,
       connectionLimit: slots * 8,
       warmUpMs: warmUpMs ?? 0,
-      state,
+      state: this.uses.variant.ignoresLeaves === true ? "serving" : state,
     });
   }
 
