--- a/packages/configuration/_fake_fleet.ts
+++ b/packages/configuration/_fake_fleet.ts
@@ -29,7 +29,7 @@
   selectNewerDocuments,
 } from "./mod.ts";
 import { pickRandom, randomFraction } from "./random_choice.ts";
-import { VirtualClock } from "./_virtual_clock.ts";
+import { VirtualClock } from "@oleanderdeck/settings";
 
 /** Stub of a compiled lookup that shows which documents are in force. */
 export interface StubView extends PolicyView {
--- a/packages/configuration/store_document_editor_test.ts
+++ b/packages/configuration/store_document_editor_test.ts
@@ -3,7 +3,7 @@
 import { MemoryStore } from "@oleanderdeck/store";
 import { DocumentConflict, KEPT_CHANGES, StoreDocumentEditor } from "./mod.ts";
 import { randomFraction } from "./random_choice.ts";
-import { VirtualClock } from "./_virtual_clock.ts";
+import { VirtualClock } from "@oleanderdeck/settings";
 
 const NAME = "policy/menus";
 
--- a/packages/settings/mod.ts
+++ b/packages/settings/mod.ts
@@ -11,3 +11,4 @@
 export * from "./jsonc.ts";
 export * from "./node_settings.ts";
 export * from "./settings_reference.ts";
+export * from "./virtual_clock.ts";
--- a/packages/configuration/_virtual_clock.ts
+++ b/packages/settings/virtual_clock.ts
@@ -1,4 +1,4 @@
-import { Clock } from "@oleanderdeck/settings";
+import { Clock } from "./clock.ts";
 
 /** Longest virtual time to wait for a promise, in milliseconds. */
 const MAX_WAIT_MS = 120_000;
--- a/packages/testing/sessions/mod.ts
+++ b/packages/testing/sessions/mod.ts
@@ -16,5 +16,5 @@
 export * from "./session_server.ts";
 export * from "./session_story.ts";
 export * from "./session_works.ts";
-export * from "./virtual_clock.ts";
+export * from "./process_clock.ts";
 export * from "./soak.ts";
--- a/packages/testing/sessions/process_store.ts
+++ b/packages/testing/sessions/process_store.ts
@@ -12,7 +12,7 @@
   type StoreListing,
   type WatchOptions,
 } from "@oleanderdeck/store";
-import type { ProcessClock } from "./virtual_clock.ts";
+import type { ProcessClock } from "./process_clock.ts";
 
 /**
  * Store as one process sees it: a paused process gets answers when it resumes,
--- a/packages/testing/sessions/recording_store.ts
+++ b/packages/testing/sessions/recording_store.ts
@@ -15,7 +15,7 @@
   type WatchOptions,
 } from "@oleanderdeck/store";
 import type { SessionRecorder } from "./session_recorder.ts";
-import type { VirtualClock } from "./virtual_clock.ts";
+import type { VirtualClock } from "@oleanderdeck/settings";
 
 /** Store in memory that records committed changes and outages. */
 export class RecordingStore extends Store {
--- a/packages/testing/sessions/session_fleet.ts
+++ b/packages/testing/sessions/session_fleet.ts
@@ -24,7 +24,7 @@
 } from "./session_node.ts";
 import { SessionRecorder } from "./session_recorder.ts";
 import { SessionServer, type SessionServerOptions } from "./session_server.ts";
-import { VirtualClock } from "./virtual_clock.ts";
+import { VirtualClock } from "@oleanderdeck/settings";
 
 /** A node with the backend server beside it. */
 export interface SessionPlace {
--- a/packages/testing/sessions/session_network.ts
+++ b/packages/testing/sessions/session_network.ts
@@ -3,7 +3,8 @@
 import type { PeerMessage } from "@oleanderdeck/membership";
 import { type Member, MemberState } from "@oleanderdeck/protocol";
 import type { SessionPeer } from "./session_peer.ts";
-import type { ProcessClock, VirtualClock } from "./virtual_clock.ts";
+import type { VirtualClock } from "@oleanderdeck/settings";
+import type { ProcessClock } from "./process_clock.ts";
 
 /** What happens to one call between two processes. */
 export type CallFault =
--- a/packages/testing/sessions/session_node.ts
+++ b/packages/testing/sessions/session_node.ts
@@ -28,7 +28,8 @@
 import { SessionPeer } from "./session_peer.ts";
 import type { SessionRecorder } from "./session_recorder.ts";
 import { REGISTRATION_TERM_MS, type SessionServer } from "./session_server.ts";
-import { ProcessClock, type VirtualClock } from "./virtual_clock.ts";
+import type { VirtualClock } from "@oleanderdeck/settings";
+import { ProcessClock } from "./process_clock.ts";
 
 /** Time between two looks whether the configuration is loaded, in ms. */
 const READY_CHECK_MS = 50;
--- a/packages/testing/sessions/session_peer.ts
+++ b/packages/testing/sessions/session_peer.ts
@@ -16,7 +16,7 @@
   WorkerState,
 } from "@oleanderdeck/protocol";
 import type { SessionNetwork } from "./session_network.ts";
-import type { ProcessClock } from "./virtual_clock.ts";
+import type { ProcessClock } from "./process_clock.ts";
 
 /** Time between two probes of a node, in milliseconds. */
 const PROBE_INTERVAL_MS = 1_000;
--- a/packages/testing/sessions/session_server.ts
+++ b/packages/testing/sessions/session_server.ts
@@ -8,7 +8,8 @@
 import type { CallReceiver } from "./session_network.ts";
 import type { SessionNode } from "./session_node.ts";
 import type { SessionRecorder } from "./session_recorder.ts";
-import { ProcessClock, type VirtualClock } from "./virtual_clock.ts";
+import type { VirtualClock } from "@oleanderdeck/settings";
+import { ProcessClock } from "./process_clock.ts";
 
 /** Time between two registrations at the node, in milliseconds. */
 const REGISTRATION_INTERVAL_MS = 1_000;
