Give call statistics and headroom fields of their own in lease requests

Cause: they travelled as demands with the ranks 4, 5 and 6, because the schema had no fields for them. Change: completed_calls, mean_duration_microseconds and headroom; demands have priorities only.

--- a/packages/admission/_worker_pools.ts
+++ b/packages/admission/_worker_pools.ts
@@ -1,6 +1,6 @@
 import {
   type DemandEntry,
-  HEADROOM_ENTRY,
+  HEADROOM_RANK,
   rankNodes,
 } from "@oleanderdeck/leases";
 import type { Candidate } from "@oleanderdeck/routing";
@@ -277,7 +277,7 @@
     let rounded = 0;
     const all = [
       ...entries.map((entry) => ({ ...entry, amount: entry.amount * factor })),
-      { priority: HEADROOM_ENTRY, organisation: "", amount: headroom },
+      { priority: HEADROOM_RANK, organisation: "", amount: headroom },
     ];
     return all.map((entry) => {
       exact += entry.amount;
--- a/packages/leases/_lease_ledger.ts
+++ b/packages/leases/_lease_ledger.ts
@@ -48,7 +48,7 @@
     this.requestNumber = request.requestNumber;
     this.until = now + termMs;
     this.#inUse = request.inUse;
-    this.demands = readDemands(request.demands).demands;
+    this.demands = readDemands(request).demands;
     // A holder ignores grants older than the one that it holds.
     this.#grants = this.#grants
       .filter((grant) => grant.until > now && grant.epoch >= request.heldEpoch)
--- a/packages/leases/_lease_link.ts
+++ b/packages/leases/_lease_link.ts
@@ -153,9 +153,7 @@
         holderIncarnation: members.self().incarnation,
         requestNumber: this.#requestNumber,
         inUse: report.inUse,
-        demands: writeDemands(
-          this.#closed ? { ...report, demands: [] } : report,
-        ),
+        ...writeDemands(this.#closed ? { ...report, demands: [] } : report),
         heldEpoch: held?.epoch ?? 0n,
         heldAmount: this.#closed ? 0 : held?.amount ?? report.inherited,
       }),
--- a/packages/leases/lease_demand.ts
+++ b/packages/leases/lease_demand.ts
@@ -1,32 +1,24 @@
 import { create } from "@bufbuild/protobuf";
-import { type Demand, DemandSchema } from "@oleanderdeck/protocol";
-
-/**
- * Rank of the demand entry that reports calls completed since the last
- * request. The schema has no field for it; the entry has no organisation.
- */
-const CALLS_ENTRY = 4;
-
-/** Rank of the entry that reports the mean duration, in units of 0.1 ms. */
-const DURATION_ENTRY = 5;
-
-const DURATION_UNITS_PER_MS = 10;
+import { DemandSchema, type LeaseRequest } from "@oleanderdeck/protocol";
 
 /**
  * Rank of the entry for slots beyond the expected need, against variation
  * between reports. It is served after all priorities, so that under shortage
  * room for variation takes no slot from a call.
  */
-export const HEADROOM_ENTRY = 6;
+export const HEADROOM_RANK = 4;
+
+const MICROSECONDS_PER_MS = 1000;
 
 /** Demand for one priority and organisation. */
 export interface DemandEntry {
+  /** Rank of the priority, or {@linkcode HEADROOM_RANK}. */
   readonly priority: number;
   readonly organisation: string;
   readonly amount: number;
 }
 
-/** Content of the demand entries of a lease request. */
+/** What a holder reports with a lease request. */
 export interface DemandReport {
   readonly demands: readonly DemandEntry[];
   /** Calls completed since the last request. */
@@ -35,49 +27,55 @@
   readonly meanDurationMs: number;
 }
 
+/** Fields of a lease request that carry a report. */
+export type DemandFields = Pick<
+  LeaseRequest,
+  "demands" | "completedCalls" | "meanDurationMicroseconds" | "headroom"
+>;
+
 /**
- * Encodes demands and call statistics as demand entries.
+ * Encodes a report as fields of a lease request.
  *
- * @param report Demands and statistics.
+ * @param report Demands and call statistics.
  */
-export function writeDemands(report: DemandReport): Demand[] {
-  const entries = report.demands
-    .filter((demand) => demand.amount > 0)
-    .map((demand) =>
-      create(DemandSchema, {
-        priority: demand.priority,
-        organisation: demand.organisation,
-        amount: Math.ceil(demand.amount),
-      })
-    );
-  if (report.calls > 0) {
-    entries.push(
-      create(DemandSchema, { priority: CALLS_ENTRY, amount: report.calls }),
-      create(DemandSchema, {
-        priority: DURATION_ENTRY,
-        amount: Math.max(
-          1,
-          Math.round(report.meanDurationMs * DURATION_UNITS_PER_MS),
-        ),
-      }),
-    );
-  }
-  return entries;
+export function writeDemands(report: DemandReport): DemandFields {
+  const wanted = report.demands.filter((demand) => demand.amount > 0);
+  return {
+    demands: wanted
+      .filter(({ priority }) => priority < HEADROOM_RANK)
+      .map(({ amount, organisation, priority }) =>
+        create(DemandSchema, {
+          priority,
+          organisation,
+          amount: Math.ceil(amount),
+        })
+      ),
+    headroom: Math.ceil(
+      wanted.find(({ priority }) => priority === HEADROOM_RANK)?.amount ?? 0,
+    ),
+    completedCalls: report.calls,
+    meanDurationMicroseconds: Math.round(
+      report.meanDurationMs * MICROSECONDS_PER_MS,
+    ),
+  };
 }
 
 /**
- * Decodes the demand entries of a lease request.
+ * Decodes the fields of a lease request.
  *
- * @param entries Entries as received.
+ * @param fields Fields as received.
  */
-export function readDemands(entries: readonly Demand[]): DemandReport {
-  const amountOf = (rank: number) =>
-    entries.find((entry) => entry.priority === rank)?.amount ?? 0;
+export function readDemands(fields: DemandFields): DemandReport {
+  const { completedCalls, headroom, meanDurationMicroseconds } = fields;
+  const demands = fields.demands.filter(({ priority }) =>
+    priority < HEADROOM_RANK
+  );
   return {
-    demands: entries.filter(({ priority }) =>
-      priority < CALLS_ENTRY || priority === HEADROOM_ENTRY
-    ),
-    calls: amountOf(CALLS_ENTRY),
-    meanDurationMs: amountOf(DURATION_ENTRY) / DURATION_UNITS_PER_MS,
+    demands: headroom === 0 ? demands : [
+      ...demands,
+      { priority: HEADROOM_RANK, organisation: "", amount: headroom },
+    ],
+    calls: completedCalls,
+    meanDurationMs: meanDurationMicroseconds / MICROSECONDS_PER_MS,
   };
 }
--- a/packages/leases/slot_lease_owner.ts
+++ b/packages/leases/slot_lease_owner.ts
@@ -14,7 +14,7 @@
 import { allocate, type HolderDemand } from "./allocation.ts";
 import {
   type DemandEntry,
-  HEADROOM_ENTRY,
+  HEADROOM_RANK,
   readDemands,
 } from "./lease_demand.ts";
 import { SHORTAGE_INTERVAL_MS, SLOT_TERM_MS } from "./lease_timing.ts";
@@ -279,7 +279,7 @@
     const now = this.#options.clock.now();
     const holder = this.#ledger.accept(request, sender, now);
     if (holder === undefined) return;
-    const report = readDemands(request.demands);
+    const report = readDemands(request);
     if (report.calls > 0) {
       this.#options.onCalls(report.calls);
       this.#limit.record(report.meanDurationMs, report.calls, now);
@@ -290,9 +290,9 @@
   #reallocate(asker: HolderRecord): void {
     const now = this.#options.clock.now();
     this.#ledger.expire(now);
-    const targets = this.#targets(HEADROOM_ENTRY);
+    const targets = this.#targets(HEADROOM_RANK);
     // Own calls may use headroom of holders until it is granted.
-    this.#dueSlots = this.#targets(HEADROOM_ENTRY - 1);
+    this.#dueSlots = this.#targets(HEADROOM_RANK - 1);
     // Reductions first, since they make room for the others.
     const others = this.#ledger.holders().filter((holder) => holder !== asker);
     for (const holder of others) {
