--- a/packages/leases/rate_lease_keeper.ts
+++ b/packages/leases/rate_lease_keeper.ts
@@ -25,7 +25,7 @@
  * Requests per second that a keeper wants to answer for one organisation; with
  * more holders the terms are longer, so that the control traffic stays bounded.
  */
-const REQUESTS_PER_SECOND = 20;
+const REQUESTS_PER_SECOND = 5;
 
 /** Renewals of a lease within its term. */
 const RENEWALS_PER_TERM = 8;
