Separate waiting attempts from the admission of a service, and share fakes

The queue answers the attempts that it refuses, so ServiceAdmission only decides. A call that waited for its rate while the node stopped is refused as draining. The benchmark extends the fake policies of the tests instead of copying them, and drain and undrain share their code.

--- a/bench/_overload_world.ts
+++ b/bench/_overload_world.ts
@@ -1,4 +1,3 @@
-import { type Either, Left } from "purify-ts";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
@@ -10,12 +9,11 @@
 } from "@oleanderdeck/admission";
 import {
   type OrganisationPolicy,
-  PolicyView,
   type Priority,
-  type ServicePolicy,
 } from "@oleanderdeck/agreement";
 import { DeckError, type ErrorKind } from "@oleanderdeck/errors";
 import { SystemClock } from "@oleanderdeck/settings";
+import { FakePolicies } from "../packages/admission/_test_fakes.ts";
 import { type FakePeer, FakePeers } from "../packages/leases/_fake_peers.ts";
 
 /** How the nodes of a run control their load. */
@@ -62,42 +60,13 @@
 const CALLER_RETRIES = 5;
 
 /** Policies of the benchmarks: equal weights, limits as set. */
-export class BenchPolicies extends PolicyView {
+export class BenchPolicies extends FakePolicies {
   readonly limits = new Map<string, number>();
 
-  service(service: string): ServicePolicy {
-    return {
-      service,
-      defaultTimeoutMs: TIMEOUT_MS,
-      maximumTimeoutMs: TIMEOUT_MS,
-      retries: ROOT_ALLOWANCE,
-      maximumBodyBytes: 1_000_000,
-      queueLength: 64,
-      progressTimeoutMs: TIMEOUT_MS,
-    };
-  }
-
-  organisation(organisation: string): OrganisationPolicy {
+  override organisation(organisation: string): OrganisationPolicy {
     const callsPerSecond = this.limits.get(organisation);
     return { organisation, weight: 1, callsPerSecond };
   }
-
-  organisations(): readonly OrganisationPolicy[] {
-    return [];
-  }
-
-  authenticate(): Either<DeckError, OrganisationPolicy> {
-    return Left(new DeckError("no_agreement"));
-  }
-
-  rule() {
-    return {
-      priority: 2,
-      idempotent: true,
-      permit: "optional",
-      failureCost: 1,
-    } as const;
-  }
 }
 
 /** Backend server with slots and a FIFO queue, as a thread pool has. */
--- a/packages/admission/_service_admission.ts
+++ b/packages/admission/_service_admission.ts
@@ -1,4 +1,4 @@
-import { Either, Left, Right } from "purify-ts";
+import { Left, Right } from "purify-ts";
 import { type Priority, SHED_KEYS } from "@oleanderdeck/agreement";
 import { DeckError, type ErrorKind } from "@oleanderdeck/errors";
 import type { DemandEntry } from "@oleanderdeck/leases";
@@ -9,7 +9,11 @@
   SHED_INTERVAL_MS,
   SheddingThreshold,
 } from "./_shedding.ts";
-import { type WaitingAttempt, WaitQueue } from "./_wait_queue.ts";
+import {
+  type Answer,
+  cancelled,
+  WaitingAttempts,
+} from "./_waiting_attempts.ts";
 import { acquireOwn, WorkerPools } from "./_worker_pools.ts";
 import type { HeldSlot } from "./_worker_pool.ts";
 import type {
@@ -19,12 +23,6 @@
   ServiceLoad,
 } from "./admission_control.ts";
 
-type Answer = Either<DeckError, AdmittedAttempt>;
-
-interface Waiting extends WaitingAttempt {
-  answer(answer: Answer): void;
-}
-
 /** Time that a slot is held after its call was abandoned. */
 const ABANDONED_HOLD_MS = 50;
 
@@ -45,7 +43,7 @@
   readonly #context: AdmissionContext;
   readonly #service: string;
   readonly #placement: Placement;
-  readonly #queue: WaitQueue<Waiting>;
+  readonly #queue: WaitingAttempts;
   readonly #shedding: SheddingThreshold;
   readonly #pools: WorkerPools;
   readonly #durations = new DurationEstimate();
@@ -71,7 +69,7 @@
     this.#context = context;
     this.#service = service;
     this.#placement = placement;
-    this.#queue = new WaitQueue(context.weight);
+    this.#queue = new WaitingAttempts(context.weight);
     this.#shedding = new SheddingThreshold(context.weight);
     this.#pools = new WorkerPools(context, service, {
       demand: () => this.demand(),
@@ -183,9 +181,10 @@
     this.#start();
     this.#shedding.recordArrival(request);
     const refusal = this.refusal(request, threshold);
-    if (refusal !== undefined && !this.#makeWay(request, refusal)) {
-      return Left(refusal);
-    }
+    // A request is not shed while a less important one waits.
+    const admissible = refusal === undefined ||
+      refusal.kind === "shed_low_priority" && this.#queue.makeWay(request);
+    if (!admissible) return Left(refusal);
     if (signal?.aborted) return Left(cancelled());
     if (this.#unavailable(request)) {
       return Left(new DeckError(this.#unavailable(request)!));
@@ -211,7 +210,7 @@
       if (entry === undefined) return;
       const now = this.#context.clock.now();
       if (entry.request.deadline - now < this.#leastMs(now)) {
-        this.#refuse(entry, "deadline_too_short");
+        this.#queue.refuse(entry, "deadline_too_short");
         continue;
       }
       const slot = this.#acquire(entry.request);
@@ -232,7 +231,7 @@
 
   /** Refuses all waiting attempts. */
   refuseAll(kind: ErrorKind): void {
-    for (const entry of [...this.#queue.entries()]) this.#refuse(entry, kind);
+    this.#queue.refuseWhere(kind, () => true);
   }
 
   /** Refuses waiting attempts, gives leases back and ends the task. */
@@ -243,21 +242,12 @@
     this.#task?.abort();
   }
 
-  // A request is not shed while a less important one waits; that one is refused
-  // in its place.
-  #makeWay(request: AdmissionRequest, refusal: DeckError): boolean {
-    if (refusal.kind !== "shed_low_priority") return false;
-    const victim = this.#queue.victim(request);
-    if (victim === undefined) return false;
-    if (victim.request.priority <= request.priority) return false;
-    this.#refuse(victim, "shed_low_priority");
-    return true;
-  }
-
   #place(
     request: AdmissionRequest,
     signal: AbortSignal | undefined,
   ): Answer | Promise<Answer> {
+    // The node may have stopped while the call waited for its rate.
+    if (this.#closed) return Left(new DeckError("draining"));
     this.#demand.record(request.priority, request.organisation);
     if (this.#queue.length === 0) {
       const slot = this.#acquire(request);
@@ -344,32 +334,9 @@
     signal: AbortSignal | undefined,
   ): Answer | Promise<Answer> {
     this.#pools.reportShortage();
-    const limit = this.#context.policies().service(this.#service)?.queueLength;
-    if (this.#queue.length >= (limit ?? 0)) {
-      const victim = this.#queue.victim(request);
-      if (victim === undefined) return Left(new DeckError("queue_full"));
-      this.#refuse(victim, "queue_full");
-    }
-    return new Promise((resolve) => {
-      const withdraw = () => {
-        if (this.#queue.remove(entry)) resolve(Left(cancelled()));
-      };
-      const entry: Waiting = {
-        request,
-        enqueuedAt: now,
-        answer: (answer) => {
-          signal?.removeEventListener("abort", withdraw);
-          resolve(answer);
-        },
-      };
-      this.#queue.push(entry);
-      signal?.addEventListener("abort", withdraw);
-    });
-  }
-
-  #refuse(entry: Waiting, kind: ErrorKind): void {
-    if (!this.#queue.remove(entry)) return;
-    entry.answer(Left(new DeckError(kind)));
+    const policy = this.#context.policies().service(this.#service);
+    const limit = policy?.queueLength ?? 0;
+    return this.#queue.wait(request, { now, limit, signal });
   }
 
   #start(): void {
@@ -401,18 +368,21 @@
   }
 
   #expire(now: number): void {
-    const expired = [...this.#queue.entries()]
-      .filter((entry) => entry.request.deadline - now < this.#leastMs(now));
-    for (const entry of expired) this.#refuse(entry, "deadline_too_short");
+    const leastMs = this.#leastMs(now);
+    this.#queue.refuseWhere(
+      "deadline_too_short",
+      (request) => request.deadline - now < leastMs,
+    );
   }
 
   // Waiting attempts of priorities that are wholly shed would otherwise run while
   // nodes upstream refuse more important ones by the same threshold.
   #refuseShedPriorities(): void {
     const partial = Math.floor(this.#shedding.threshold / SHED_KEYS);
-    const shed = [...this.#queue.entries()]
-      .filter((entry) => entry.request.priority > partial);
-    for (const entry of shed) this.#refuse(entry, "shed_low_priority");
+    this.#queue.refuseWhere(
+      "shed_low_priority",
+      (request) => request.priority > partial,
+    );
   }
 
   /** Time left without which a start would be in vain. */
@@ -444,7 +414,3 @@
   return failure === "caller_cancelled" || failure === "deadline_exceeded" ||
     failure === "connection_lost" || failure === "answer_cut";
 }
-
-function cancelled(): DeckError {
-  return new DeckError("caller_cancelled", { run: "no" });
-}
--- a/packages/command_line/system_commands.ts
+++ b/packages/command_line/system_commands.ts
@@ -6,38 +6,52 @@
 import { EXIT_CODES, type ExitCode } from "./exit_code.ts";
 import { withConnection } from "./operator_connection.ts";
 
-/** Takes a worker out of service. */
-export async function drain(
+interface WorkerChange {
+  readonly method: "drain" | "undrain";
+  readonly state: string;
+  /** Text that follows the address. */
+  readonly text: string;
+}
+
+async function changeWorker(
   context: CommandContext,
   workerAddress: string,
+  change: WorkerChange,
 ): Promise<ExitCode> {
   await withConnection(
     context,
     (connection) =>
-      connection.call((client) => client.drain({ workerAddress })),
+      connection.call((client) => client[change.method]({ workerAddress })),
   );
   writeResult(context, {
-    json: { workerAddress, state: "draining" },
-    lines: [`${workerAddress} is draining; its calls in flight are finished`],
+    json: { workerAddress, state: change.state },
+    lines: [`${workerAddress} ${change.text}`],
   });
   return EXIT_CODES.ok;
 }
 
+/** Takes a worker out of service. */
+export function drain(
+  context: CommandContext,
+  workerAddress: string,
+): Promise<ExitCode> {
+  return changeWorker(context, workerAddress, {
+    method: "drain",
+    state: "draining",
+    text: "is draining; its calls in flight are finished",
+  });
+}
+
 /** Puts a drained worker back into service. */
-export async function undrain(
+export function undrain(
   context: CommandContext,
   workerAddress: string,
 ): Promise<ExitCode> {
-  await withConnection(
-    context,
-    (connection) =>
-      connection.call((client) => client.undrain({ workerAddress })),
-  );
-  writeResult(context, {
-    json: { workerAddress, state: "serving" },
-    lines: [`${workerAddress} is back in service`],
+  return changeWorker(context, workerAddress, {
+    method: "undrain",
+    state: "serving",
+    text: "is back in service",
   });
-  return EXIT_CODES.ok;
 }
 
 function countBy<Item>(
