--- a/bench/_overload_world.ts
+++ b/bench/_overload_world.ts
@@ -11,7 +11,7 @@
   type OrganisationPolicy,
   type Priority,
 } from "@oleanderdeck/agreement";
-import { DeckError, type ErrorKind } from "@oleanderdeck/errors";
+import type { ErrorKind } from "@oleanderdeck/errors";
 import { SystemClock } from "@oleanderdeck/settings";
 import { FakePolicies } from "../packages/admission/_test_fakes.ts";
 import { type FakePeer, FakePeers } from "../packages/leases/_fake_peers.ts";
--- a/packages/command_line/system_commands.ts
+++ b/packages/command_line/system_commands.ts
@@ -21,7 +21,9 @@
   await withConnection(
     context,
     (connection) =>
-      connection.call((client) => client[change.method]({ workerAddress })),
+      connection.call<unknown>((client) =>
+        client[change.method]({ workerAddress })
+      ),
   );
   writeResult(context, {
     json: { workerAddress, state: change.state },
