--- a/packages/daemon/node_test.ts
+++ b/packages/daemon/node_test.ts
@@ -177,3 +177,34 @@
   const change = fleet.apply("policy/other", { service: "other" });
   await expect(change).rejects.toThrow(ConnectError);
 }, 20_000);
+
+// Guards against a fleet that acts without a configuration, or that does not
+// recover by itself when the store is back.
+test("all nodes restart with the store down and recover with it", async () => {
+  fleet.store.setFaults({ outage: "refuse" });
+  await Promise.all(fleet.hosts.map((host) => fleet.replaceNode(host)));
+  const refused = await fleet.call(fleet.hosts[0]!, "/menus/today");
+  expect(refused.headers["oleanderdeck-error"]).toBe("not_ready");
+  expect(refused.headers["oleanderdeck-run"]).toBe("no");
+  fleet.store.setFaults({ outage: "none" });
+  await fleet.waitUntil(
+    async () =>
+      (await Promise.all(fleet.hosts.map((host) => fleet.isReady(host))))
+        .every(Boolean),
+    20_000,
+  );
+  await fleet.waitUntil(async () =>
+    (await fleet.call(fleet.hosts[0]!, "/menus/today")).status === 200
+  );
+});
+
+// Guards against an answer that says that a stored change failed.
+test("a change whose store answer was lost is told as stored", async () => {
+  fleet.store.setFaults({ loseWriteAnswers: 1 });
+  const stored = await fleet.apply("policy/other", { service: "other" });
+  const change = await fleet.operator(fleet.hosts[2]!).getChange({
+    name: "policy/other",
+    changeId: "policy-other-0",
+  });
+  expect(change).toMatchObject({ committed: true, version: stored.version });
+});
