--- a/packages/daemon/oleanderdeckd_main.ts
+++ b/packages/daemon/oleanderdeckd_main.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from "node:fs";
 import { cac } from "cac";
+import { EventLog } from "@oleanderdeck/observability";
 import {
   type NodeSettings,
   nodeSettingsSchema,
@@ -58,6 +59,11 @@
   }
   const settings = readSettings(options.settings);
   if (settings === undefined || options.check) return;
+  const log = new EventLog({ level: settings.logLevel });
+  process.once("uncaughtException", (error) => {
+    log.write("error", "node_failed", { fault: error.stack });
+    process.exit(EXIT.failed);
+  });
   const node = new Node(settings);
   try {
     await node.start();
