--- a/packages/daemon/node.ts
+++ b/packages/daemon/node.ts
@@ -32,6 +32,7 @@
 } from "@oleanderdeck/settings";
 import { HttpStore } from "@oleanderdeck/store";
 import { ControlServer } from "./control_server.ts";
+import { NodeGauges } from "./node_gauges.ts";
 import { OwnWorkerState } from "./own_worker.ts";
 import {
   FleetRollout,
@@ -42,9 +43,6 @@
 import { findSeeds, SeedPublisher } from "./seeds.ts";
 import { FleetWorkerControl } from "./worker_control.ts";
 
-/** Time between two reports of gauges, in milliseconds. */
-const GAUGE_INTERVAL_MS = 10_000;
-
 /** Time between two looks at the work in progress while stopping, in ms. */
 const STOP_CHECK_MS = 50;
 
@@ -72,7 +70,7 @@
   readonly #control: ControlServer;
   readonly #seedPublisher: SeedPublisher;
   readonly #edge: CallEdge;
-  #gauges: NodeJS.Timeout | undefined;
+  readonly #gauges: NodeGauges;
 
   /** @param settings Checked settings. */
   constructor(settings: NodeSettings) {
@@ -173,6 +171,12 @@
       clock,
       log,
     });
+    this.#gauges = new NodeGauges({
+      metrics: this.#metrics,
+      membership: this.#membership,
+      replica: this.#replica,
+      edge: this.#edge,
+    });
     const operator = operatorRoutes({
       editor: this.#configuration.editor,
       replica: this.#replica,
@@ -217,7 +221,7 @@
     await this.#membership.start();
     this.#configuration.start();
     this.#seedPublisher.start();
-    this.#gauges = setInterval(() => this.#reportGauges(), GAUGE_INTERVAL_MS);
+    this.#gauges.start();
     this.#log.write("info", "node_started", {
       node: nodeId,
       data_centre: dataCentre,
@@ -236,7 +240,7 @@
     await this.#waitForWorker();
     await this.#within(this.#edge.close());
     await this.#membership.leave();
-    clearInterval(this.#gauges);
+    this.#gauges.close();
     this.#registration.close();
     await this.#admission.close();
     await this.#configuration.close();
@@ -266,7 +270,7 @@
    * Calls in flight are cut off.
    */
   async abandon(): Promise<void> {
-    clearInterval(this.#gauges);
+    this.#gauges.close();
     this.#registration.close();
     await Promise.all([
       this.#edge.abort(),
@@ -304,23 +308,6 @@
     await Promise.race([closing, timeout]);
     timer.abort();
   }
-
-  #reportGauges(): void {
-    const { drops, healthScore, liveMembers, traffic } = this.#membership
-      .counters();
-    const dropped = Object.values(drops)
-      .reduce((total: number, count: number) => total + count, 0);
-    this.#metrics.gauge("members.live", liveMembers);
-    this.#metrics.gauge("members.health_score", healthScore);
-    this.#metrics.gauge("datagrams.dropped", dropped);
-    this.#metrics.gauge("datagrams.sent_bytes", traffic.bytesSent);
-    this.#metrics.gauge("datagrams.received_bytes", traffic.bytesReceived);
-    this.#metrics.gauge(
-      "configuration.version",
-      this.#replica.highestVersion(),
-    );
-    this.#metrics.gauge("calls.in_flight", this.#edge.inFlight);
-  }
 }
 
 type Compiler = ConstructorParameters<
--- /dev/null
+++ b/packages/daemon/node_gauges.ts
@@ -0,0 +1,52 @@
+import type { CallEdge } from "@oleanderdeck/calls";
+import type { DocumentReplica } from "@oleanderdeck/configuration";
+import type { Membership } from "@oleanderdeck/membership";
+import type { Metrics } from "@oleanderdeck/observability";
+
+/** Time between two reports, in milliseconds. */
+const REPORT_INTERVAL_MS = 10_000;
+
+/** Parts of a node whose state is reported. */
+export interface NodeGaugesOptions {
+  readonly metrics: Pick<Metrics, "gauge">;
+  readonly membership: Pick<Membership, "counters">;
+  readonly replica: Pick<DocumentReplica, "highestVersion">;
+  readonly edge: Pick<CallEdge, "inFlight">;
+}
+
+/** Reports the state of a node as gauges at regular times. */
+export class NodeGauges {
+  readonly #options: NodeGaugesOptions;
+  #timer: NodeJS.Timeout | undefined;
+
+  /** @param options Sources and receiver of the gauges. */
+  constructor(options: NodeGaugesOptions) {
+    this.#options = options;
+  }
+
+  /** Starts to report. */
+  start(): void {
+    this.#timer ??= setInterval(() => this.report(), REPORT_INTERVAL_MS);
+  }
+
+  /** Ends the reports. */
+  close(): void {
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+  }
+
+  /** Reports once. */
+  report(): void {
+    const { edge, membership, metrics, replica } = this.#options;
+    const { drops, healthScore, liveMembers, traffic } = membership.counters();
+    const dropped = Object.values(drops)
+      .reduce((total: number, count: number) => total + count, 0);
+    metrics.gauge("members.live", liveMembers);
+    metrics.gauge("members.health_score", healthScore);
+    metrics.gauge("datagrams.dropped", dropped);
+    metrics.gauge("datagrams.sent_bytes", traffic.bytesSent);
+    metrics.gauge("datagrams.received_bytes", traffic.bytesReceived);
+    metrics.gauge("configuration.version", replica.highestVersion());
+    metrics.gauge("calls.in_flight", edge.inFlight);
+  }
+}
