Define once which members count as live

Five places in membership, configuration, leases and the daemon had the same condition. It stands beside MemberView now; the tests pass unchanged.

--- a/packages/configuration/dissemination.ts
+++ b/packages/configuration/dissemination.ts
@@ -1,6 +1,10 @@
 import { create } from "@bufbuild/protobuf";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
-import type { MemberView, PeerChannel } from "@oleanderdeck/membership";
+import {
+  isLive,
+  type MemberView,
+  type PeerChannel,
+} from "@oleanderdeck/membership";
 import type { EventLog } from "@oleanderdeck/observability";
 import {
   type HeldConfiguration,
@@ -14,7 +18,6 @@
 import type { DocumentPeer } from "./document_peer.ts";
 import { DocumentPuller } from "./document_puller.ts";
 import { pickRandom } from "./random_choice.ts";
-import { isLive } from "./reader_rank.ts";
 import type { StoreContact } from "./store_contact.ts";
 import { isDocumentName } from "./stored_document.ts";
 import { WakeUp } from "./wake_up.ts";
--- a/packages/configuration/reader_rank.ts
+++ b/packages/configuration/reader_rank.ts
@@ -1,15 +1,10 @@
 import { createHash } from "node:crypto";
-import { type Member, MemberState } from "@oleanderdeck/protocol";
+import { isLive } from "@oleanderdeck/membership";
+import type { Member } from "@oleanderdeck/protocol";
 
 /** Number of nodes of a data centre that watch the store. */
 export const READERS_PER_DATA_CENTRE = 2;
 
-/** Tells whether a member is alive or only suspected of a failure. */
-export function isLive(member: Member): boolean {
-  return member.state === MemberState.ALIVE ||
-    member.state === MemberState.SUSPECT;
-}
-
 /** Hash of a node id, cached because ranks are computed every second. */
 const scores = new Map<string, number>();
 const MAX_CACHED_SCORES = 20_000;
--- a/packages/configuration/rollout.ts
+++ b/packages/configuration/rollout.ts
@@ -1,12 +1,15 @@
 import { create } from "@bufbuild/protobuf";
-import type { MemberView, PeerChannel } from "@oleanderdeck/membership";
+import {
+  isLive,
+  type MemberView,
+  type PeerChannel,
+} from "@oleanderdeck/membership";
 import {
   VersionAnswerSchema,
   VersionQuerySchema,
 } from "@oleanderdeck/protocol";
 import type { Clock } from "@oleanderdeck/settings";
 import type { ConfigurationReplica } from "./configuration_replica.ts";
-import { isLive } from "./reader_rank.ts";
 
 /** Options of {@linkcode Rollout}. */
 export interface RolloutOptions {
--- a/packages/configuration/start_up.ts
+++ b/packages/configuration/start_up.ts
@@ -1,12 +1,11 @@
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
-import type { MemberView } from "@oleanderdeck/membership";
+import { isLive, type MemberView } from "@oleanderdeck/membership";
 import type { EventLog } from "@oleanderdeck/observability";
 import type { Member } from "@oleanderdeck/protocol";
 import type { Clock } from "@oleanderdeck/settings";
 import type { ConfigurationReplica } from "./configuration_replica.ts";
 import type { DocumentPuller } from "./document_puller.ts";
 import { pickRandom, randomFraction } from "./random_choice.ts";
-import { isLive } from "./reader_rank.ts";
 import type { StoreReader } from "./store_reader.ts";
 import { untilAborted } from "./wake_up.ts";
 
--- a/packages/configuration/store_reader.ts
+++ b/packages/configuration/store_reader.ts
@@ -1,13 +1,13 @@
 import type { Either } from "purify-ts";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { DeckError } from "@oleanderdeck/errors";
-import type { MemberView } from "@oleanderdeck/membership";
+import { isLive, type MemberView } from "@oleanderdeck/membership";
 import type { EventLog } from "@oleanderdeck/observability";
 import type { Clock } from "@oleanderdeck/settings";
 import type { Store, StoreListing } from "@oleanderdeck/store";
 import type { ConfigurationReplica } from "./configuration_replica.ts";
 import { randomFraction } from "./random_choice.ts";
-import { isLive, isStoreReader } from "./reader_rank.ts";
+import { isStoreReader } from "./reader_rank.ts";
 import type { StoreContact } from "./store_contact.ts";
 import { decodeStoredDocument, isDocumentName } from "./stored_document.ts";
 import { untilAborted } from "./wake_up.ts";
--- a/packages/daemon/node.ts
+++ b/packages/daemon/node.ts
@@ -11,6 +11,7 @@
 } from "@oleanderdeck/configuration";
 import { PermitLedger } from "@oleanderdeck/idempotency";
 import {
+  isLive,
   Membership,
   PeerClients,
   PeerKeys,
@@ -19,7 +20,7 @@
 } from "@oleanderdeck/membership";
 import { EventLog, Metrics } from "@oleanderdeck/observability";
 import { operatorRoutes } from "@oleanderdeck/operator";
-import { type Member, MemberState } from "@oleanderdeck/protocol";
+import type { Member } from "@oleanderdeck/protocol";
 import {
   AllowanceLedger,
   ChainRetryPolicy,
@@ -260,9 +261,7 @@
 
   /** Live members as this node knows them, itself included. */
   members(): readonly Member[] {
-    return this.#membership.members().filter(({ state }) =>
-      state === MemberState.ALIVE || state === MemberState.SUSPECT
-    );
+    return this.#membership.members().filter(isLive);
   }
 
   /**
--- a/packages/daemon/seeds.ts
+++ b/packages/daemon/seeds.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
-import { isLive, isStoreReader } from "@oleanderdeck/configuration";
-import type { MemberView } from "@oleanderdeck/membership";
+import { isStoreReader } from "@oleanderdeck/configuration";
+import { isLive, type MemberView } from "@oleanderdeck/membership";
 import type { EventLog } from "@oleanderdeck/observability";
 import type { Member } from "@oleanderdeck/protocol";
 import type { Clock } from "@oleanderdeck/settings";
--- a/packages/daemon/worker_control.ts
+++ b/packages/daemon/worker_control.ts
@@ -1,8 +1,11 @@
 import { type Either, Left, Right } from "purify-ts";
 import { DeckError } from "@oleanderdeck/errors";
-import type { MemberView, PeerClients } from "@oleanderdeck/membership";
+import {
+  isLive,
+  type MemberView,
+  type PeerClients,
+} from "@oleanderdeck/membership";
 import { WorkerControl } from "@oleanderdeck/operator";
-import { MemberState } from "@oleanderdeck/protocol";
 import type { OwnWorkerState } from "./own_worker.ts";
 
 /** Options of {@linkcode FleetWorkerControl}. */
@@ -37,9 +40,7 @@
     const { clients, members, own } = this.#options;
     if (own.setDrained(address, draining)) return Right(undefined);
     const member = members.members().find((candidate) =>
-      candidate.worker?.address === address &&
-      (candidate.state === MemberState.ALIVE ||
-        candidate.state === MemberState.SUSPECT)
+      candidate.worker?.address === address && isLive(candidate)
     );
     if (member === undefined) return Left(unknownWorker(address));
     try {
--- a/packages/leases/keeper_ranking.ts
+++ b/packages/leases/keeper_ranking.ts
@@ -1,6 +1,6 @@
 import xxhash from "xxhash-wasm";
-import { type Member, MemberState } from "@oleanderdeck/protocol";
-import type { MemberView } from "@oleanderdeck/membership";
+import type { Member } from "@oleanderdeck/protocol";
+import { isLive, type MemberView } from "@oleanderdeck/membership";
 import type { Clock } from "@oleanderdeck/settings";
 import { RATE_TERM_MS } from "./lease_timing.ts";
 
@@ -37,11 +37,6 @@
   return best.map(({ nodeId }) => nodeId);
 }
 
-function isLive(member: Member): boolean {
-  return member.state === MemberState.ALIVE ||
-    member.state === MemberState.SUSPECT;
-}
-
 /** Keepers of the organisations' limits, by the live members. */
 export class KeeperRanking {
   readonly #members: MemberView;
--- a/packages/membership/_dead_members.ts
+++ b/packages/membership/_dead_members.ts
@@ -1,7 +1,8 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { MemberState } from "@oleanderdeck/protocol";
 import type { MembershipContext } from "./_context.ts";
-import { encodeMember, isLive, toClaim } from "./_member_record.ts";
+import { encodeMember, toClaim } from "./_member_record.ts";
+import { isLive } from "./member_view.ts";
 import type { Pinger } from "./_pinger.ts";
 
 /** Time for which the records of dead members are kept. */
--- a/packages/membership/_member_record.ts
+++ b/packages/membership/_member_record.ts
@@ -1,3 +1,4 @@
+import { isLive } from "./member_view.ts";
 import { createHash } from "node:crypto";
 import { create, toBinary } from "@bufbuild/protobuf";
 import {
@@ -70,12 +71,6 @@
   return first.revision - second.revision || first.state - second.state;
 }
 
-/** Whether the member takes part in the fleet as far as is known. */
-export function isLive(record: Member): boolean {
-  return record.state === MemberState.ALIVE ||
-    record.state === MemberState.SUSPECT;
-}
-
 /** Whether a live member's worker runs a service and takes new calls. */
 export function isServing(record: Member, service: string): boolean {
   return isLive(record) && record.worker?.service === service &&
--- a/packages/membership/_member_table.ts
+++ b/packages/membership/_member_table.ts
@@ -7,9 +7,9 @@
   hashRecord,
   hashText,
   isClaim,
-  isLive,
   isServing,
 } from "./_member_record.ts";
+import { isLive } from "./member_view.ts";
 
 /** Number of buckets that anti-entropy compares. */
 export const BUCKET_COUNT = 64;
--- a/packages/membership/_pinger.ts
+++ b/packages/membership/_pinger.ts
@@ -6,7 +6,8 @@
   PingSchema,
 } from "@oleanderdeck/protocol";
 import type { MembershipContext } from "./_context.ts";
-import { encodeMember, isLive, toClaim } from "./_member_record.ts";
+import { encodeMember, toClaim } from "./_member_record.ts";
+import { isLive } from "./member_view.ts";
 import type { MemberEntry } from "./_member_table.ts";
 import { parseHostPort } from "./datagram_transport.ts";
 
--- a/packages/membership/_prober.ts
+++ b/packages/membership/_prober.ts
@@ -3,7 +3,8 @@
 import { isPeer, type MembershipContext } from "./_context.ts";
 import { Latch } from "./_latch.ts";
 import { MAXIMUM_HEALTH_SCORE } from "./_local_health.ts";
-import { encodeMember, isLive, toClaim } from "./_member_record.ts";
+import { encodeMember, toClaim } from "./_member_record.ts";
+import { isLive } from "./member_view.ts";
 import { type MemberEntry, shuffle } from "./_member_table.ts";
 import { AnswerWait, INDIRECT_TIMEOUT_MS, type Pinger } from "./_pinger.ts";
 
--- a/packages/membership/member_view.ts
+++ b/packages/membership/member_view.ts
@@ -1,10 +1,16 @@
-import type {
-  Datagram,
-  HeldConfiguration,
-  Member,
-  Worker,
+import {
+  type Datagram,
+  type HeldConfiguration,
+  type Member,
+  MemberState,
+  type Worker,
 } from "@oleanderdeck/protocol";
 
+/** Tells whether a member is alive or only suspected of a failure. */
+export function isLive({ state }: Pick<Member, "state">): boolean {
+  return state === MemberState.ALIVE || state === MemberState.SUSPECT;
+}
+
 /** Message that a datagram carries. */
 export type PeerMessage = Exclude<Datagram["body"], { case: undefined }>;
 
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -18,7 +18,6 @@
   compareRecords,
   encodeMember,
   isClaim,
-  isLive,
   MAXIMUM_NODE_ID_LENGTH,
   MAXIMUM_RECORD_BYTES,
   nextContentRevision,
@@ -35,7 +34,7 @@
   MembershipCounters,
   MembershipOptions,
 } from "./membership_options.ts";
-import { MemberView, type PeerChannel } from "./member_view.ts";
+import { isLive, MemberView, type PeerChannel } from "./member_view.ts";
 
 /** Time that a leave message is repeated to peers before the node may stop. */
 const LEAVE_MS = 1000;
