--- /dev/null
+++ b/packages/calling/call_task.ts
@@ -0,0 +1,224 @@
+import { ERROR_ANSWERS, type ErrorKind } from "@oleanderdeck/errors";
+import type { HeaderLines } from "@oleanderdeck/hop";
+import type {
+  GateTicket,
+  WorkerFailure,
+  WorkerResult,
+} from "@oleanderdeck/serving";
+import type { RetryAllowance } from "./retry_allowance.ts";
+import type { WorkerChannel } from "./worker_channel.ts";
+import { chooseChannel } from "./worker_choice.ts";
+
+/** Workers that may refuse a call, unsent, before the caller is told. */
+const MAX_REFUSALS = 3;
+
+/** Time left below which a call is not sent again, in milliseconds. */
+const MIN_RETRY_TIME_MS = 30;
+
+/** Pause that a refused caller is told when no worker named one. */
+const DEFAULT_RETRY_AFTER_MS = 500;
+
+/** One request of a caller, read whole. */
+export interface CallerRequest {
+  readonly requestId: string;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: HeaderLines;
+  readonly body: Buffer;
+  readonly service: string;
+  readonly isIdempotent: boolean;
+  /** Greatest number of workers that the request is sent to. */
+  readonly maxAttempts: number;
+  readonly latencyTargetMs: number;
+  /** Rank of the request; 0 is served first. */
+  readonly rank: number;
+  /** Time of the process at which the caller needs an answer. */
+  readonly deadline: number;
+}
+
+/** Complete answer of a worker. */
+export interface TaskAnswer {
+  readonly kind: "answer";
+  readonly status: number;
+  readonly headers: HeaderLines;
+  readonly body: Buffer;
+}
+
+/** Answer of this node in place of a worker's. */
+export interface TaskRefusal {
+  readonly kind: "refusal";
+  readonly error: ErrorKind;
+  readonly status: number;
+  readonly retryAfterMs: number;
+}
+
+/** Final outcome of a request. */
+export type TaskResult = TaskAnswer | TaskRefusal;
+
+/** One step of a request, for the log. */
+export interface TaskStep {
+  readonly requestId: string;
+  readonly event: "sent" | "failed" | "answered" | "refused";
+  readonly node: string;
+  readonly reason: string;
+}
+
+/** Options of {@linkcode CallTask}. */
+export interface CallTaskOptions {
+  readonly dataCentre: string;
+  /** Ways to the workers of a service at present. */
+  readonly channels: (service: string) => readonly WorkerChannel[];
+  readonly allowance: RetryAllowance;
+  /** Receives the final outcome once. */
+  readonly finish: (result: TaskResult) => void;
+  /** Counts a repeat by its reason. */
+  readonly onRetry?: (reason: ErrorKind, request: CallerRequest) => void;
+}
+
+/**
+ * Carries one request from its caller to a worker. It goes to another worker
+ * only where that is safe: after a refusal that proves it has not run, or, if
+ * it is idempotent, after a failure, within the attempts of its route and the
+ * retry allowance of its service.
+ */
+export class CallTask {
+  readonly #request: CallerRequest;
+  readonly #options: CallTaskOptions;
+  readonly #tried = new Set<string>();
+  readonly #timer: NodeJS.Timeout;
+  #ticket: GateTicket | undefined;
+  #attempts = 0;
+  #refusals = 0;
+  #mayHaveRun = false;
+  #isDone = false;
+
+  /**
+   * @param request Request of the caller.
+   * @param options Workers, allowance and receiver of the outcome.
+   */
+  constructor(request: CallerRequest, options: CallTaskOptions) {
+    this.#request = request;
+    this.#options = options;
+    this.#timer = setTimeout(
+      () => this.#expire(),
+      Math.max(0, request.deadline - performance.now()),
+    );
+  }
+
+  /** Sends the request to its first worker. */
+  start(): void {
+    this.#options.allowance.countFirst(this.#request.service);
+    this.#send("no_worker");
+  }
+
+  /** The caller has gone: the worker need not go on. */
+  cancel(): void {
+    if (this.#isDone) return;
+    this.#close();
+    this.#ticket?.cancel();
+  }
+
+  #send(lastError: ErrorKind, retryAfterMs = DEFAULT_RETRY_AFTER_MS): void {
+    const { requestId, service, deadline } = this.#request;
+    const channel = chooseChannel(this.#options.channels(service), {
+      dataCentre: this.#options.dataCentre,
+      excluded: this.#tried,
+    });
+    if (channel === undefined) return this.#refuse(lastError, retryAfterMs);
+    this.#tried.add(channel.node);
+    const { method, target, headers, body } = this.#request;
+    const { isIdempotent, latencyTargetMs, rank } = this.#request;
+    this.#ticket = channel.run({
+      requestId,
+      method,
+      target,
+      headers,
+      body,
+      isIdempotent,
+      latencyTargetMs,
+      rank,
+      timeLeftMs: deadline - performance.now(),
+    }, { service, finish: (result) => this.#receive(result) });
+  }
+
+  #receive(result: WorkerResult): void {
+    if (this.#isDone) return;
+    if (result.kind === "answer") {
+      if (this.#isWorthRepeating(result.status)) {
+        this.#mayHaveRun = true;
+        this.#attempts++;
+        if (this.#takeRetry("worker_failed")) return this.#send("no_worker");
+      }
+      return this.#finish(result);
+    }
+    this.#receiveFailure(result);
+  }
+
+  #isWorthRepeating(status: number): boolean {
+    return this.#request.isIdempotent && status >= 500 && status !== 504;
+  }
+
+  #receiveFailure(failure: WorkerFailure): void {
+    const { error, mayHaveRun, wasSent, retryAfterMs } = failure;
+    this.#mayHaveRun ||= mayHaveRun;
+    if (mayHaveRun && !this.#request.isIdempotent) {
+      return this.#refuse(error, retryAfterMs);
+    }
+    if (wasSent) {
+      this.#attempts++;
+      if (!this.#takeRetry(error)) return this.#refuse(error, retryAfterMs);
+    } else if (++this.#refusals >= MAX_REFUSALS) {
+      return this.#refuse(error, retryAfterMs);
+    }
+    this.#send(error, retryAfterMs);
+  }
+
+  #takeRetry(reason: ErrorKind): boolean {
+    const { deadline, maxAttempts, service } = this.#request;
+    const isAllowed = this.#attempts < maxAttempts &&
+      deadline - performance.now() > MIN_RETRY_TIME_MS &&
+      this.#options.allowance.take(service);
+    if (isAllowed) this.#options.onRetry?.(reason, this.#request);
+    return isAllowed;
+  }
+
+  #expire(): void {
+    if (this.#isDone) return;
+    const ticket = this.#ticket;
+    this.#finish({
+      kind: "refusal",
+      error: "deadline_exceeded",
+      status: ERROR_ANSWERS.deadline_exceeded.status,
+      retryAfterMs: 0,
+    });
+    ticket?.cancel();
+  }
+
+  #refuse(error: ErrorKind, retryAfterMs: number): void {
+    const kind = this.#mayHaveRun ? lostKind(error) : notRunKind(error);
+    this.#finish({
+      kind: "refusal",
+      error: kind,
+      status: this.#mayHaveRun ? 502 : 503,
+      retryAfterMs: retryAfterMs || DEFAULT_RETRY_AFTER_MS,
+    });
+  }
+
+  #finish(result: TaskResult): void {
+    this.#close();
+    this.#options.finish(result);
+  }
+
+  #close(): void {
+    this.#isDone = true;
+    clearTimeout(this.#timer);
+  }
+}
+
+function lostKind(error: ErrorKind): ErrorKind {
+  return ERROR_ANSWERS[error].run === "no" ? "connection_lost" : error;
+}
+
+function notRunKind(error: ErrorKind): ErrorKind {
+  return ERROR_ANSWERS[error].run === "no" ? error : "no_worker";
+}
--- /dev/null
+++ b/packages/calling/caller_edge.ts
@@ -0,0 +1,334 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { ERROR_ANSWERS, type ErrorKind } from "@oleanderdeck/errors";
+import type {
+  CallerLimits,
+  ConfigurationHolder,
+  Route,
+} from "@oleanderdeck/directory";
+import {
+  endToEndLines,
+  fieldOf,
+  type HeaderNames,
+} from "@oleanderdeck/serving";
+import { type CallerRequest, CallTask, type TaskResult } from "./call_task.ts";
+import type { RetryAllowance } from "./retry_allowance.ts";
+import { RouteTable } from "./route_table.ts";
+import type { WorkerChannel } from "./worker_channel.ts";
+
+/** Time for which a caller waits that does not state it, in milliseconds. */
+const DEFAULT_TIME_LEFT_MS = 30_000;
+
+/** Latency target of a route that does not state one, in milliseconds. */
+const DEFAULT_LATENCY_TARGET_MS = 1_000;
+
+/** Time before the caller's deadline at which it gets an answer. */
+const ANSWER_MARGIN_MS = 15;
+
+/** Limits before the first configuration is known. */
+const INITIAL_LIMITS: CallerLimits = {
+  maxHeaderBytes: 65_536,
+  maxBodyBytes: 67_108_864,
+  headerTimeoutMs: 10_000,
+  idleTimeoutMs: 60_000,
+};
+
+/** Options of {@linkcode CallerEdge}. */
+export interface CallerEdgeOptions {
+  readonly names: HeaderNames;
+  /** Service of the worker on this host, stated to called workers. */
+  readonly callerService: string;
+  readonly dataCentre: string;
+  readonly configuration: ConfigurationHolder;
+  readonly allowance: RetryAllowance;
+  readonly channels: (service: string) => readonly WorkerChannel[];
+  /** Bytes of request bodies that may be held at the same time. */
+  readonly maxHeldBytes: number;
+  /** Whether a request comes from the worker on this host. */
+  readonly isFromWorker: (request: IncomingMessage) => boolean;
+  /** Whether the configuration in force may be older than the operator's. */
+  readonly mayBeOutdated: () => boolean;
+  readonly onRefusal?: (refusal: EdgeRefusal) => void;
+  readonly onRetry?: (reason: ErrorKind, request: CallerRequest) => void;
+}
+
+/** A request that got no answer of a worker. */
+export interface EdgeRefusal {
+  readonly requestId: string;
+  readonly service: string;
+  readonly error: ErrorKind;
+  readonly status: number;
+  /** Time since the request arrived, in milliseconds. */
+  readonly elapsedMs: number;
+}
+
+/** Takes the requests of the callers on this host. */
+export class CallerEdge {
+  readonly #options: CallerEdgeOptions;
+  readonly #server: Server;
+  #routes: RouteTable | undefined;
+  #limits = INITIAL_LIMITS;
+  #heldBytes = 0;
+  #unfinished = 0;
+  #lastRequestAt = 0;
+  #isClosing = false;
+
+  /** @param options Names, workers and the configuration. */
+  constructor(options: CallerEdgeOptions) {
+    this.#options = options;
+    this.#server = createServer(
+      { maxHeaderSize: INITIAL_LIMITS.maxHeaderBytes, noDelay: true },
+      (request, response) => this.#handle(request, response),
+    );
+    this.#server.requestTimeout = 0;
+    this.#apply();
+    options.configuration.onChange(() => this.#apply());
+  }
+
+  /** Requests without a complete answer. */
+  get unfinished(): number {
+    return this.#unfinished;
+  }
+
+  /** Time since the last request arrived, in milliseconds. */
+  get quietMs(): number {
+    return performance.now() - this.#lastRequestAt;
+  }
+
+  /** Takes connections at an address and resolves to the port. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen({ host, port, backlog: 1024 }, () => {
+        this.#server.off("error", reject);
+        resolve((this.#server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Asks callers to open no more requests on their connections. */
+  startClosing(): void {
+    this.#isClosing = true;
+  }
+
+  /** Closes the listener and all connections. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #apply(): void {
+    const { current } = this.#options.configuration;
+    if (current !== undefined) {
+      this.#routes = new RouteTable(current);
+      this.#limits = current.limits;
+    }
+    this.#server.headersTimeout = this.#limits.headerTimeoutMs;
+    this.#server.keepAliveTimeout = this.#limits.idleTimeoutMs;
+  }
+
+  #handle(request: IncomingMessage, response: ServerResponse): void {
+    const arrivedAt = performance.now();
+    this.#lastRequestAt = arrivedAt;
+    this.#unfinished++;
+    response.sendDate = false;
+    response.once("close", () => this.#unfinished--);
+    const exchange: Exchange = { request, response, arrivedAt };
+    const lines = endToEndLines(request.rawHeaders);
+    const requestId = fieldOf(lines, this.#options.names.requestId);
+    if (requestId === undefined) {
+      return this.#refuse(exchange, "malformed_request");
+    }
+    if (this.#routes === undefined) return this.#refuse(exchange, "not_ready");
+    const target = request.url ?? "/";
+    const route = this.#routes.find(request.headers.host ?? "", target);
+    const service = route && this.#routes.nextService(route);
+    if (route === undefined || service === undefined) {
+      return this.#refuse(
+        exchange,
+        this.#options.mayBeOutdated() ? "not_ready" : "no_route",
+      );
+    }
+    const declared = Number(request.headers["content-length"] ?? 0);
+    if (declared > this.#limits.maxBodyBytes) {
+      return this.#refuse(exchange, "too_large");
+    }
+    if (declared === 0 && !("transfer-encoding" in request.headers)) {
+      return this.#run(exchange, {
+        route,
+        service,
+        requestId,
+        lines,
+        chunks: [],
+      });
+    }
+    this.#readBody(exchange, { route, service, requestId, lines });
+  }
+
+  #readBody(exchange: Exchange, head: RequestHead): void {
+    const { request, response } = exchange;
+    const chunks: Buffer[] = [];
+    let length = 0;
+    request.on("data", (chunk: Buffer) => {
+      chunks.push(chunk);
+      length += chunk.length;
+      this.#heldBytes += chunk.length;
+      if (response.headersSent) return;
+      if (length > this.#limits.maxBodyBytes) {
+        chunks.length = 0;
+        this.#refuse(exchange, "too_large");
+      } else if (this.#heldBytes > this.#options.maxHeldBytes) {
+        chunks.length = 0;
+        this.#refuse(exchange, "not_ready");
+      }
+    });
+    request.once("end", () => {
+      if (!response.headersSent) this.#run(exchange, { ...head, chunks });
+    });
+    response.once("close", () => this.#heldBytes -= length);
+  }
+
+  #run(exchange: Exchange, parts: RequestParts): void {
+    const { request, response, arrivedAt } = exchange;
+    const { route, service, requestId, lines, chunks } = parts;
+    const { names } = this.#options;
+    const callerRequest: CallerRequest = {
+      requestId,
+      method: request.method ?? "GET",
+      target: request.url ?? "/",
+      headers: this.#linesForWorker(lines),
+      body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
+      service,
+      isIdempotent: route.kind === "safe",
+      maxAttempts: route.maxAttempts,
+      latencyTargetMs: route.latencyTargetMs ?? DEFAULT_LATENCY_TARGET_MS,
+      rank: this.#options.isFromWorker(request) ? 0 : 1 + route.priority,
+      deadline: arrivedAt +
+        timeLimitMs(route, fieldOf(lines, names.timeLeftMs)),
+    };
+    const task = new CallTask(callerRequest, {
+      dataCentre: this.#options.dataCentre,
+      channels: this.#options.channels,
+      allowance: this.#options.allowance,
+      finish: (result) => this.#answer(exchange, callerRequest, result),
+      ...(this.#options.onRetry && { onRetry: this.#options.onRetry }),
+    });
+    response.once("close", () => task.cancel());
+    task.start();
+  }
+
+  #linesForWorker(lines: readonly string[]): string[] {
+    const { names, callerService } = this.#options;
+    const replaced = [
+      names.timeLeftMs,
+      names.callerService,
+      names.expectedWorker,
+    ].map((name) => name.toLowerCase());
+    const kept: string[] = [];
+    for (let index = 0; index < lines.length; index += 2) {
+      if (replaced.includes(lines[index]!.toLowerCase())) continue;
+      kept.push(lines[index]!, lines[index + 1]!);
+    }
+    kept.push(names.callerService, callerService);
+    return kept;
+  }
+
+  #answer(
+    exchange: Exchange,
+    request: CallerRequest,
+    result: TaskResult,
+  ): void {
+    if (result.kind === "answer") {
+      const { response } = exchange;
+      if (response.destroyed) return;
+      response.writeHead(result.status, [
+        ...result.headers,
+        "Content-Length",
+        String(result.body.length),
+        ...this.#closingLines(),
+      ]);
+      response.end(result.body);
+      return;
+    }
+    this.#refuse(exchange, result.error, {
+      requestId: request.requestId,
+      service: request.service,
+      status: result.status,
+      retryAfterMs: result.retryAfterMs,
+    });
+  }
+
+  #refuse(
+    { response, arrivedAt }: Exchange,
+    error: ErrorKind,
+    details: RefusalDetails = {},
+  ): void {
+    const defaults = ERROR_ANSWERS[error];
+    const status = details.status ?? defaults.status;
+    this.#options.onRefusal?.({
+      requestId: details.requestId ?? "",
+      service: details.service ?? "",
+      error,
+      status,
+      elapsedMs: Math.round(performance.now() - arrivedAt),
+    });
+    if (response.destroyed || response.headersSent) return;
+    const text = `${defaults.text}\n`;
+    const retryAfterMs = details.retryAfterMs ?? defaults.retryAfterMs;
+    response.writeHead(status, [
+      "Content-Type",
+      "text/plain",
+      "Content-Length",
+      String(Buffer.byteLength(text)),
+      ...(status === 503 || status === 429
+        ? ["Retry-After", (retryAfterMs / 1000).toFixed(3)]
+        : []),
+      ...this.#closingLines(),
+    ]);
+    response.end(text);
+  }
+
+  #closingLines(): string[] {
+    return this.#isClosing ? ["Connection", "close"] : [];
+  }
+}
+
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly arrivedAt: number;
+}
+
+interface RequestHead {
+  readonly route: Route;
+  readonly service: string;
+  readonly requestId: string;
+  readonly lines: readonly string[];
+}
+
+interface RequestParts extends RequestHead {
+  readonly chunks: readonly Buffer[];
+}
+
+interface RefusalDetails {
+  readonly requestId?: string;
+  readonly service?: string;
+  readonly status?: number;
+  readonly retryAfterMs?: number;
+}
+
+function timeLimitMs(route: Route, stated: string | undefined): number {
+  const callers = Number(stated);
+  const patience = Number.isFinite(callers) && callers > 0
+    ? callers
+    : DEFAULT_TIME_LEFT_MS;
+  return Math.max(
+    1,
+    Math.min(patience - ANSWER_MARGIN_MS, route.timeoutMs ?? Infinity),
+  );
+}
--- /dev/null
+++ b/packages/calling/local_channel.ts
@@ -0,0 +1,42 @@
+import type { LoadReport } from "@oleanderdeck/hop";
+import type { GateTicket, WorkerCall, WorkerGate } from "@oleanderdeck/serving";
+import { type ChannelRunOptions, WorkerChannel } from "./worker_channel.ts";
+
+/** Options of {@linkcode LocalChannel}. */
+export interface LocalChannelOptions {
+  readonly node: string;
+  readonly dataCentre: string;
+  readonly gate: WorkerGate;
+  /** Load that is also reported to other nodes. */
+  readonly load: () => LoadReport;
+}
+
+/** Way to the worker on the same host. */
+export class LocalChannel extends WorkerChannel {
+  readonly node: string;
+  readonly dataCentre: string;
+  readonly isReachable = true;
+  readonly #gate: WorkerGate;
+  readonly #load: () => LoadReport;
+
+  /** @param options Names of the node, its gate and its load. */
+  constructor({ node, dataCentre, gate, load }: LocalChannelOptions) {
+    super();
+    this.node = node;
+    this.dataCentre = dataCentre;
+    this.#gate = gate;
+    this.#load = load;
+  }
+
+  get load(): LoadReport {
+    return this.#load();
+  }
+
+  get unfinished(): number {
+    return 0;
+  }
+
+  run(call: WorkerCall, { finish }: ChannelRunOptions): GateTicket {
+    return this.#gate.run(call, finish);
+  }
+}
--- /dev/null
+++ b/packages/calling/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * The calling side of a node: HTTP edge for the callers on its host, routes,
+ * choice of a worker, and repeats within a bounded allowance.
+ *
+ * @module
+ */
+
+export * from "./call_task.ts";
+export * from "./caller_edge.ts";
+export * from "./local_channel.ts";
+export * from "./peer_channel.ts";
+export * from "./retry_allowance.ts";
+export * from "./route_table.ts";
+export * from "./worker_channel.ts";
+export * from "./worker_choice.ts";
--- /dev/null
+++ b/packages/directory/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * What one node knows: the workers of all services and the operator's
+ * configuration in force, with the interface to the platform's store.
+ *
+ * @module
+ */
+
+export * from "./configuration.ts";
+export * from "./configuration_holder.ts";
+export * from "./platform_records.ts";
+export * from "./worker_directory.ts";
+export * from "./worker_record.ts";
--- a/packages/errors/error_kind.ts
+++ b/packages/errors/error_kind.ts
@@ -155,6 +155,27 @@
     200,
     "The backend server refused the request before running it",
   ),
+  worker_replaced: answer(
+    503,
+    "unavailable",
+    "no",
+    200,
+    "Another worker answers at the address of the worker",
+  ),
+  worker_failed: answer(
+    500,
+    "internal",
+    "yes",
+    undefined,
+    "The backend server failed the request",
+  ),
+  no_route: answer(
+    404,
+    "not_found",
+    "no",
+    undefined,
+    "No route matches the request",
+  ),
   connection_refused: answer(
     502,
     "unavailable",
--- /dev/null
+++ b/packages/hop/link.ts
@@ -0,0 +1,106 @@
+import type { Socket } from "node:net";
+import { encodeFrame, FrameReader } from "./frame_codec.ts";
+import type { Frame } from "./frame.ts";
+
+/** Time without any byte after which a ping is sent, in milliseconds. */
+const PING_AFTER_MS = 700;
+
+/**
+ * Time without any byte after which a link is closed, in milliseconds. It
+ * covers the repeats of a packet that was lost three times in a row.
+ */
+const SILENT_MS = 2_200;
+
+/** What the owner of a link does with its events. */
+export interface LinkEvents {
+  /** A frame other than ping and pong has arrived. */
+  readonly onFrame: (frame: Frame) => void;
+  /** The link has ended; called once. */
+  readonly onClose: (reason: string) => void;
+}
+
+/**
+ * One connection between two nodes that carries frames both ways. It pings a
+ * silent peer and closes when the peer stays silent.
+ */
+export class Link {
+  readonly #socket: Socket;
+  readonly #events: LinkEvents;
+  readonly #reader = new FrameReader();
+  #lastReceived = performance.now();
+  #isClosed = false;
+
+  /**
+   * @param socket Connected socket, which the link owns from now on.
+   * @param events What the owner does with frames and with the end.
+   */
+  constructor(socket: Socket, events: LinkEvents) {
+    this.#socket = socket;
+    this.#events = events;
+    socket.setNoDelay(true);
+    socket.on("data", (chunk) => this.#receive(chunk as Buffer));
+    socket.on("error", (error) => this.close(error.message));
+    socket.on("close", () => this.close("closed by the peer"));
+  }
+
+  /** Whether the link has ended. */
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
+
+  /** Time since the last byte of the peer, in milliseconds. */
+  get silentMs(): number {
+    return performance.now() - this.#lastReceived;
+  }
+
+  /** Bytes that the peer has not taken yet. */
+  get unsentBytes(): number {
+    return this.#socket.writableLength;
+  }
+
+  /** Sends a frame; does nothing on a closed link. */
+  send(frame: Frame): void {
+    if (this.#isClosed) return;
+    const chunks = encodeFrame(frame);
+    if (chunks.length === 1) {
+      this.#socket.write(chunks[0]!);
+      return;
+    }
+    this.#socket.cork();
+    chunks.forEach((chunk) => this.#socket.write(chunk));
+    this.#socket.uncork();
+  }
+
+  /** Ends the link at once. */
+  close(reason = "closed"): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    this.#socket.destroy();
+    this.#events.onClose(reason);
+  }
+
+  /**
+   * Pings a silent peer and closes the link when the peer stays silent. The
+   * owner calls it some times a second, with one timer for all links.
+   */
+  check(): void {
+    const silent = this.silentMs;
+    if (silent > SILENT_MS) this.close("no bytes from the peer");
+    else if (silent > PING_AFTER_MS) this.send({ kind: "ping" });
+  }
+
+  #receive(chunk: Buffer): void {
+    this.#lastReceived = performance.now();
+    let frames: readonly Frame[];
+    try {
+      frames = this.#reader.read(chunk);
+    } catch (error) {
+      return this.close(`malformed frame: ${(error as Error).message}`);
+    }
+    for (const frame of frames) {
+      if (this.#isClosed) return;
+      if (frame.kind === "ping") this.send({ kind: "pong" });
+      else if (frame.kind !== "pong") this.#events.onFrame(frame);
+    }
+  }
+}
--- a/packages/observability/counter_reference.ts
+++ b/packages/observability/counter_reference.ts
@@ -40,6 +40,10 @@
     "No live worker serves: check whether backend servers are registered, drained or cut off",
   worker_refused:
     "The backend server sheds by itself: its `slots` are set higher than it can carry",
+  worker_replaced:
+    "Normal for a moment after a worker was replaced; otherwise look for two nodes with one address",
+  worker_failed: "The backend server answers with 500: see its own log",
+  no_route: "A host or path that no route covers: correct the callers",
   connection_refused: "The backend server does not listen: restart it",
   connection_lost:
     "The backend server or the link failed during a call: see the member states in the log",
--- /dev/null
+++ b/packages/serving/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * The worker beside this node: what it states of itself, admission of calls to
+ * its slots, and connections to it.
+ *
+ * @module
+ */
+
+export * from "./header_names.ts";
+export * from "./ranked_queue.ts";
+export * from "./worker_call.ts";
+export * from "./worker_connections.ts";
+export * from "./worker_gate.ts";
+export * from "./worker_state.ts";
--- /dev/null
+++ b/packages/serving/worker_gate.ts
@@ -0,0 +1,241 @@
+import type { ErrorKind } from "@oleanderdeck/errors";
+import type { LoadReport } from "@oleanderdeck/hop";
+import { RankedQueue } from "./ranked_queue.ts";
+import type { WorkerCall, WorkerResult } from "./worker_call.ts";
+import type {
+  WorkerConnections,
+  WorkerExchange,
+} from "./worker_connections.ts";
+import type { HeaderNames } from "./header_names.ts";
+import type { WorkerTracker } from "./worker_state.ts";
+
+/** Weight of a new sample in the means of hold time and failures. */
+const SAMPLE_WEIGHT = 0.05;
+
+/** Hold time that is assumed before the first sample, in milliseconds. */
+const INITIAL_HOLD_MS = 50;
+
+/**
+ * Share of a call's latency target that it may wait for a slot. A longer wait
+ * would make answers late without serving more calls.
+ */
+const WAIT_SHARE_OF_TARGET = 0.3;
+
+/** Shortest time left with which a call is sent to the worker. */
+const MIN_TIME_LEFT_MS = 5;
+
+/** Longest time that is named for a retry, in milliseconds. */
+const MAX_RETRY_AFTER_MS = 2_000;
+
+/** Options of {@linkcode WorkerGate}. */
+export interface WorkerGateOptions {
+  readonly tracker: WorkerTracker;
+  readonly connections: WorkerConnections;
+  readonly names: HeaderNames;
+  /** Called when the worker refuses connections. */
+  readonly onUnreachable?: () => void;
+}
+
+/** A call that was handed to the gate. */
+export interface GateTicket {
+  /**
+   * Withdraws the call. The outcome still arrives unless the worker goes on
+   * with it.
+   */
+  readonly cancel: () => void;
+}
+
+interface Entry {
+  readonly rank: number;
+  readonly call: WorkerCall;
+  readonly finish: (result: WorkerResult) => void;
+  readonly arrivedAt: number;
+  timer: NodeJS.Timeout | undefined;
+  exchange: WorkerExchange | undefined;
+  startedAt: number;
+}
+
+/**
+ * The only way to the worker beside this node. It keeps as many calls at the
+ * worker as the worker has slots, lets others wait in the order of their ranks
+ * and refuses those that would wait too long, before they are sent.
+ */
+export class WorkerGate {
+  readonly #options: WorkerGateOptions;
+  readonly #queue = new RankedQueue<Entry>();
+  #running = 0;
+  #holdMs = INITIAL_HOLD_MS;
+  #failureShare = 0;
+  #isClosed = false;
+
+  /** @param options Worker, connections and header names. */
+  constructor(options: WorkerGateOptions) {
+    this.#options = options;
+    options.tracker.onChange(({ isReady }) => {
+      if (!isReady) this.#refuseWaiting("draining");
+    });
+  }
+
+  /** Calls at the worker and in the queue. */
+  get unfinished(): number {
+    return this.#running + this.#queue.length;
+  }
+
+  /** Whether calls are taken at present. */
+  get isOpen(): boolean {
+    return !this.#isClosed && this.#options.tracker.state.isReady;
+  }
+
+  /** Present load, without the pressure of other services. */
+  get load(): Omit<LoadReport, "pressure"> {
+    return {
+      running: this.#running,
+      waiting: this.#queue.length,
+      slots: this.isOpen ? this.#options.tracker.state.slots : 0,
+      holdMs: Math.round(this.#holdMs),
+      failureShare: Math.round(this.#failureShare * 100) / 100,
+    };
+  }
+
+  /**
+   * Runs a call at the worker, or refuses it.
+   *
+   * @param call Call of this node or of a peer.
+   * @param finish Receives the outcome once.
+   */
+  run(call: WorkerCall, finish: (result: WorkerResult) => void): GateTicket {
+    const entry: Entry = {
+      rank: call.rank,
+      call,
+      finish,
+      arrivedAt: performance.now(),
+      timer: undefined,
+      exchange: undefined,
+      startedAt: 0,
+    };
+    if (!this.isOpen) {
+      this.#refuse(entry, this.#isClosed ? "draining" : "no_worker");
+    } else if (
+      this.#running < this.#options.tracker.state.slots &&
+      this.#queue.length === 0
+    ) this.#start(entry);
+    else this.#enqueue(entry);
+    return { cancel: () => this.#cancel(entry) };
+  }
+
+  /** Refuses all new and waiting calls; those at the worker go on. */
+  close(): void {
+    this.#isClosed = true;
+    this.#refuseWaiting("draining");
+  }
+
+  #enqueue(entry: Entry): void {
+    const { call } = entry;
+    const longest = Math.min(
+      call.latencyTargetMs * WAIT_SHARE_OF_TARGET,
+      call.timeLeftMs - this.#holdMs,
+    );
+    if (this.#expectedWaitMs(entry.rank) > longest) {
+      return this.#refuse(entry, "queue_full");
+    }
+    entry.timer = setTimeout(() => {
+      if (this.#queue.remove(entry)) this.#refuse(entry, "queue_full");
+    }, longest);
+    this.#queue.push(entry);
+  }
+
+  #expectedWaitMs(rank: number): number {
+    const { slots } = this.#options.tracker.state;
+    const ahead = this.#queue.lengthBefore(rank) + this.#running + 1 - slots;
+    return Math.max(0, ahead) * this.#holdMs / Math.max(1, slots);
+  }
+
+  #start(entry: Entry): void {
+    clearTimeout(entry.timer);
+    const now = performance.now();
+    const left = entry.call.timeLeftMs - (now - entry.arrivedAt);
+    if (left < MIN_TIME_LEFT_MS) {
+      return this.#refuse(entry, "deadline_too_short");
+    }
+    const { names, connections, tracker } = this.#options;
+    this.#running++;
+    entry.startedAt = now;
+    let isFinished = false;
+    entry.exchange = connections.send({
+      ...entry.call,
+      headers: [
+        ...entry.call.headers,
+        names.timeLeftMs,
+        String(Math.floor(left)),
+        names.expectedWorker,
+        tracker.state.workerId,
+      ],
+    }, (result) => {
+      if (isFinished) return;
+      isFinished = true;
+      this.#finish(entry, result);
+    });
+  }
+
+  #finish(entry: Entry, result: WorkerResult): void {
+    this.#running--;
+    const isAnswer = result.kind === "answer";
+    const isCancelled = !isAnswer && result.error === "caller_cancelled";
+    if (isAnswer) {
+      const held = performance.now() - entry.startedAt;
+      this.#holdMs += SAMPLE_WEIGHT * (held - this.#holdMs);
+    } else if (result.error === "connection_refused") {
+      this.#options.onUnreachable?.();
+    }
+    if (!isCancelled) {
+      const failed = isAnswer && result.status < 500 ? 0 : 1;
+      this.#failureShare += SAMPLE_WEIGHT * (failed - this.#failureShare);
+    }
+    entry.finish(
+      isAnswer
+        ? result
+        : { ...result, retryAfterMs: this.#retryAfterMs(entry.rank) },
+    );
+    this.#startWaiting();
+  }
+
+  #startWaiting(): void {
+    while (
+      this.isOpen && this.#running < this.#options.tracker.state.slots
+    ) {
+      const next = this.#queue.shift();
+      if (next === undefined) return;
+      this.#start(next);
+    }
+  }
+
+  #cancel(entry: Entry): void {
+    if (this.#queue.remove(entry)) {
+      clearTimeout(entry.timer);
+      this.#refuse(entry, "caller_cancelled");
+    } else if (entry.call.isIdempotent) entry.exchange?.cancel();
+  }
+
+  #refuseWaiting(error: ErrorKind): void {
+    this.#queue.drain().forEach((entry) => {
+      clearTimeout(entry.timer);
+      this.#refuse(entry, error);
+    });
+  }
+
+  #refuse(entry: Entry, error: ErrorKind): void {
+    entry.finish({
+      kind: "failure",
+      error,
+      mayHaveRun: false,
+      wasSent: false,
+      retryAfterMs: this.#retryAfterMs(entry.rank),
+    });
+  }
+
+  #retryAfterMs(rank: number): number {
+    return Math.round(
+      Math.min(MAX_RETRY_AFTER_MS, this.#holdMs + this.#expectedWaitMs(rank)),
+    );
+  }
+}
--- /dev/null
+++ b/packages/sidecar/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Node beside one worker on hosts whose workers are reached from their own host
+ * only: each call passes the node of its caller and the node of its worker.
+ *
+ * @module
+ */
+
+export * from "./peer_server.ts";
+export * from "./sidecar_node.ts";
+export * from "./sidecar_settings.ts";
+export * from "./store_follower.ts";
--- /dev/null
+++ b/packages/sidecar/peer_server.ts
@@ -0,0 +1,142 @@
+import { createServer, type Server, type Socket } from "node:net";
+import {
+  type CallFrame,
+  type Frame,
+  type HelloFrame,
+  Link,
+  type LoadReport,
+} from "@oleanderdeck/hop";
+import type { GateTicket, WorkerGate } from "@oleanderdeck/serving";
+import type { ListenAddress } from "./sidecar_settings.ts";
+
+/** Change of the used share of the slots that peers are told unasked. */
+const TOLD_USAGE_STEP = 0.2;
+
+/** Change of the pressure that peers are told unasked. */
+const TOLD_PRESSURE_STEP = 0.04;
+
+/** Options of {@linkcode PeerServer}. */
+export interface PeerServerOptions {
+  readonly service: string;
+  readonly gate: WorkerGate;
+  readonly hello: () => HelloFrame;
+  readonly load: () => LoadReport;
+  /** Takes frames that do not concern calls. */
+  readonly onFrame: (frame: Frame, link: Link) => void;
+}
+
+/** Link of a caller with its calls at this node. */
+interface CallerLink {
+  readonly link: Link;
+  readonly tickets: Map<number, GateTicket>;
+  told: LoadReport;
+}
+
+/** Takes links from other nodes and runs their calls at the own worker. */
+export class PeerServer {
+  readonly #options: PeerServerOptions;
+  readonly #links = new Set<CallerLink>();
+  readonly #server: Server;
+
+  /** @param options Gate of the worker and what is told to peers. */
+  constructor(options: PeerServerOptions) {
+    this.#options = options;
+    this.#server = createServer((socket) => this.#accept(socket));
+  }
+
+  /** Takes links at an address. */
+  listen({ host, port }: ListenAddress): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen({ host, port, backlog: 512 }, () => {
+        this.#server.off("error", reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Sends a frame on all links. */
+  broadcast(frame: Frame): void {
+    this.#links.forEach(({ link }) => link.send(frame));
+  }
+
+  /** Tells all links the load, if it differs enough from what they know. */
+  tellLoad(): void {
+    const load = this.#options.load();
+    for (const entry of this.#links) {
+      if (!isNoteworthy(load, entry.told)) continue;
+      entry.told = load;
+      entry.link.send({ kind: "load", load });
+    }
+  }
+
+  /** Checks all links; see {@linkcode Link.check}. */
+  check(): void {
+    this.#links.forEach(({ link }) => link.check());
+  }
+
+  /** Closes the listener and all links. */
+  close(): void {
+    this.#server.close();
+    [...this.#links].forEach(({ link }) => link.close());
+  }
+
+  #accept(socket: Socket): void {
+    const hello = this.#options.hello();
+    const link: Link = new Link(socket, {
+      onFrame: (frame) => this.#receive(frame, entry),
+      onClose: () => {
+        this.#links.delete(entry);
+        entry.tickets.forEach((ticket) => ticket.cancel());
+      },
+    });
+    const entry: CallerLink = { link, tickets: new Map(), told: hello.load };
+    this.#links.add(entry);
+    link.send(hello);
+  }
+
+  #receive(frame: Frame, entry: CallerLink): void {
+    if (frame.kind === "call") this.#run(frame, entry);
+    else if (frame.kind === "cancel") entry.tickets.get(frame.id)?.cancel();
+    else this.#options.onFrame(frame, entry.link);
+  }
+
+  #run(frame: CallFrame, entry: CallerLink): void {
+    const { id } = frame;
+    const { gate, load, service } = this.#options;
+    if (frame.service !== service) {
+      entry.link.send({
+        kind: "failure",
+        id,
+        error: "worker_replaced",
+        mayHaveRun: false,
+        wasSent: false,
+        retryAfterMs: 0,
+        load: load(),
+      });
+      return;
+    }
+    let isFinished = false;
+    const ticket = gate.run(frame, (result) => {
+      isFinished = true;
+      entry.tickets.delete(id);
+      const report = load();
+      entry.told = report;
+      entry.link.send(
+        result.kind === "answer"
+          ? { ...result, id, load: report }
+          : { ...result, id, load: report },
+      );
+    });
+    if (!isFinished) entry.tickets.set(id, ticket);
+  }
+}
+
+function isNoteworthy(load: LoadReport, told: LoadReport): boolean {
+  if (load.slots !== told.slots) return true;
+  if (Math.abs(load.pressure - told.pressure) >= TOLD_PRESSURE_STEP) {
+    return true;
+  }
+  const change = load.running + load.waiting - told.running - told.waiting;
+  return Math.abs(change) > TOLD_USAGE_STEP * Math.max(1, load.slots);
+}
--- /dev/null
+++ b/packages/sidecar/sidecar_node.ts
@@ -0,0 +1,343 @@
+import {
+  CallerEdge,
+  LocalChannel,
+  PeerChannel,
+  RetryAllowance,
+  type WorkerChannel,
+} from "@oleanderdeck/calling";
+import {
+  type Configuration,
+  ConfigurationHolder,
+  type PlatformRecords,
+  type StoredRecord,
+  WorkerDirectory,
+  type WorkerRecord,
+} from "@oleanderdeck/directory";
+import type { Frame, HelloFrame, Link, LoadReport } from "@oleanderdeck/hop";
+import type { EventLog } from "@oleanderdeck/observability";
+import {
+  type HeaderNames,
+  WorkerConnections,
+  WorkerGate,
+  type WorkerStatement,
+  WorkerTracker,
+} from "@oleanderdeck/serving";
+import { PeerServer } from "./peer_server.ts";
+import type { SidecarSettings } from "./sidecar_settings.ts";
+import { StoreFollower } from "./store_follower.ts";
+
+/** Time between two checks of links and load, in milliseconds. */
+const TICK_MS = 250;
+
+/** Time for the store to tell a version before a peer is asked for it. */
+const PEER_CONFIGURATION_DELAY_MS = 300;
+
+/** Share of the process's memory that request bodies may use. */
+const HELD_BODIES_SHARE = 0.3;
+
+/** Depth of call chains over which the retry bound is divided. */
+const RETRY_DEPTH = 4;
+
+/** Time without requests after which a stopping node ends, in milliseconds. */
+const QUIET_MS = 1_200;
+
+/** Part of the time for a stop that is kept for closing, in milliseconds. */
+const STOP_MARGIN_MS = 500;
+
+/** Options of {@linkcode SidecarNode}. */
+export interface SidecarNodeOptions {
+  readonly settings: SidecarSettings;
+  readonly names: HeaderNames;
+  readonly records: PlatformRecords;
+  readonly log: EventLog;
+}
+
+/** What one node passes on to another that cannot reach the store. */
+interface Knowledge {
+  readonly configuration: Configuration | undefined;
+  readonly records: readonly StoredRecord[];
+}
+
+/**
+ * Node beside one worker: takes the requests that begin on its host, carries
+ * them to the nodes beside the workers that run them, and is the only way to
+ * the worker of its own host.
+ */
+export class SidecarNode {
+  readonly #options: SidecarNodeOptions;
+  readonly #directory = new WorkerDirectory();
+  readonly #configuration = new ConfigurationHolder();
+  readonly #tracker = new WorkerTracker();
+  readonly #connections: WorkerConnections;
+  readonly #gate: WorkerGate;
+  readonly #edge: CallerEdge;
+  readonly #peers: PeerServer;
+  readonly #store: StoreFollower;
+  readonly #local: LocalChannel;
+  readonly #channels = new Map<string, PeerChannel>();
+  #tick: NodeJS.Timeout | undefined;
+  #isStopping = false;
+  #isWorkerUnreachable = false;
+
+  /** @param options Settings, header names, store and log. */
+  constructor(options: SidecarNodeOptions) {
+    this.#options = options;
+    const { names, records, log, settings } = options;
+    this.#connections = new WorkerConnections({
+      address: settings.workerAddress,
+      names,
+    });
+    this.#gate = new WorkerGate({
+      tracker: this.#tracker,
+      connections: this.#connections,
+      names,
+    });
+    this.#local = new LocalChannel({
+      node: settings.node,
+      dataCentre: settings.dataCentre,
+      gate: this.#gate,
+      load: () => this.#load(),
+    });
+    this.#peers = new PeerServer({
+      service: settings.service,
+      gate: this.#gate,
+      hello: () => this.#hello(),
+      load: () => this.#load(),
+      onFrame: (frame, link) => this.#receive(frame, link),
+    });
+    this.#edge = new CallerEdge({
+      names,
+      callerService: settings.service,
+      dataCentre: settings.dataCentre,
+      configuration: this.#configuration,
+      allowance: new RetryAllowance({
+        ratio: settings.retries.ratio / RETRY_DEPTH,
+        constant: 1,
+        windowMs: settings.retries.windowMs,
+      }),
+      channels: (service) => this.#channelsOf(service),
+      maxHeldBytes: settings.memoryMb * 1024 * 1024 * HELD_BODIES_SHARE,
+      isFromWorker: () => false,
+      mayBeOutdated: () => this.#store.silentMs > 30_000,
+      onRefusal: ({ requestId, service, error, status, elapsedMs }) =>
+        log.write("info", "request_refused", {
+          request: requestId,
+          service,
+          reason: error,
+          status,
+          elapsed_ms: elapsedMs,
+        }),
+      onRetry: (reason, { requestId, service }) =>
+        log.write("info", "request_repeated", {
+          request: requestId,
+          service,
+          reason,
+        }),
+    });
+    this.#store = new StoreFollower({
+      records,
+      directory: this.#directory,
+      configuration: this.#configuration,
+      log,
+      node: settings.node,
+      onOwnRecord: (record) => this.#adoptOwnRecord(record),
+    });
+    this.#directory.onChange((node) => this.#followRecord(node));
+    this.#tracker.onChange(() => this.#publish());
+    this.#configuration.onChange(({ version }) => {
+      log.write("info", "configuration_taken", { version });
+      const frame = { kind: "version", configurationVersion: version } as const;
+      this.#peers.broadcast(frame);
+      this.#channels.forEach((channel) => channel.send(frame));
+    });
+  }
+
+  /** Whether callers may send requests to this node. */
+  get isReady(): boolean {
+    return !this.#isStopping && this.#configuration.version > 0;
+  }
+
+  /** Starts to serve. */
+  async start(): Promise<void> {
+    const { callAddress, linkAddress, node, service } = this.#options.settings;
+    this.#store.start();
+    await this.#peers.listen(linkAddress);
+    await this.#edge.listen(callAddress.host, callAddress.port);
+    this.#tick = setInterval(() => this.#check(), TICK_MS);
+    this.#options.log.write("info", "node_started", { node, service });
+  }
+
+  /** Takes a statement of the worker on this host. */
+  takeStatement(statement: WorkerStatement): void {
+    const { service, workerAddress } = this.#options.settings;
+    if (statement.service !== service || statement.address !== workerAddress) {
+      this.#options.log.write("warn", "statement_ignored", {
+        worker: statement.workerId,
+        service: statement.service,
+        address: statement.address,
+      });
+      return;
+    }
+    const before = this.#tracker.state.workerId;
+    if (!this.#tracker.take(statement)) return;
+    if (before !== statement.workerId) this.#connections.forgetIdle();
+    this.#isWorkerUnreachable = false;
+  }
+
+  /** The worker on this host leaves. */
+  takeLeave(workerId: string, startedAt?: number): void {
+    this.#tracker.leave(workerId, startedAt);
+  }
+
+  /** Finishes the work in progress and closes; resolves when all is closed. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const { graceMs, node } = this.#options.settings;
+    this.#options.log.write("info", "node_stopping", { node });
+    this.#edge.startClosing();
+    const isWorkerGone = !this.#tracker.state.isReady;
+    this.#gate.close();
+    this.#peers.tellLoad();
+    if (isWorkerGone) this.#store.withdraw();
+    const end = performance.now() + graceMs - STOP_MARGIN_MS;
+    while (performance.now() < end && !this.#isIdle()) {
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    clearInterval(this.#tick);
+    this.#store.close();
+    this.#edge.close();
+    this.#peers.close();
+    this.#channels.forEach((channel) => channel.close());
+    this.#connections.close();
+    this.#options.log.write("info", "node_stopped", { node });
+  }
+
+  #isIdle(): boolean {
+    return this.#edge.unfinished === 0 && this.#gate.unfinished === 0 &&
+      this.#edge.quietMs > QUIET_MS;
+  }
+
+  #load(): LoadReport {
+    return { ...this.#gate.load, pressure: 0 };
+  }
+
+  #hello(): HelloFrame {
+    const { node, service } = this.#options.settings;
+    return {
+      kind: "hello",
+      node,
+      service,
+      configurationVersion: this.#configuration.version,
+      load: this.#load(),
+    };
+  }
+
+  #receive(frame: Frame, peer: Link | PeerChannel): void {
+    switch (frame.kind) {
+      case "hello":
+      case "version":
+        return this.#compareVersion(frame.configurationVersion, peer);
+      case "knowledge_request":
+        return peer.send({ kind: "knowledge", body: this.#knowledge() });
+      case "knowledge":
+        return this.#learn(
+          JSON.parse(frame.body.toString("utf8")) as Knowledge,
+        );
+    }
+  }
+
+  #compareVersion(version: number, peer: Link | PeerChannel): void {
+    if (version <= this.#configuration.version) return;
+    const delay = this.#configuration.version === 0
+      ? 0
+      : PEER_CONFIGURATION_DELAY_MS;
+    setTimeout(() => {
+      if (version > this.#configuration.version) {
+        peer.send({ kind: "knowledge_request" });
+      }
+    }, delay);
+  }
+
+  #knowledge(): Buffer {
+    const knowledge: Knowledge = {
+      configuration: this.#configuration.current,
+      records: this.#directory.records,
+    };
+    return Buffer.from(JSON.stringify(knowledge));
+  }
+
+  #learn({ configuration, records }: Knowledge): void {
+    if (configuration !== undefined) this.#configuration.put(configuration);
+    records.forEach((stored) => this.#directory.put(stored));
+    const { node } = this.#options.settings;
+    this.#adoptOwnRecord(this.#directory.get(node));
+  }
+
+  #adoptOwnRecord(record: WorkerRecord | undefined): void {
+    if (record === undefined) return;
+    if (record.service !== this.#options.settings.service) return;
+    this.#tracker.assume(record.workerId, record.slots);
+  }
+
+  #publish(): void {
+    const { workerId, slots } = this.#tracker.state;
+    this.#peers.tellLoad();
+    if (workerId === "" || !this.#tracker.state.isReady) return;
+    const { node, service, dataCentre, linkAddress } = this.#options.settings;
+    this.#store.publish({
+      node,
+      address: `${linkAddress.host}:${linkAddress.port}`,
+      service,
+      dataCentre,
+      slots,
+      workerId,
+    });
+  }
+
+  #followRecord(node: string): void {
+    if (node === this.#options.settings.node) return;
+    const record = this.#directory.get(node);
+    const channel = this.#channels.get(node);
+    if (channel !== undefined && channel.address !== record?.address) {
+      this.#channels.delete(node);
+      channel.close();
+    }
+  }
+
+  #channelsOf(service: string): readonly WorkerChannel[] {
+    const { node } = this.#options.settings;
+    return this.#directory.ofService(service).map((record) =>
+      record.node === node ? this.#local : this.#channelTo(record)
+    );
+  }
+
+  #channelTo({ node, address, dataCentre }: WorkerRecord): PeerChannel {
+    const known = this.#channels.get(node);
+    if (known !== undefined) return known;
+    const channel = new PeerChannel({
+      node,
+      address,
+      dataCentre,
+      hello: () => this.#hello(),
+      onFrame: (frame, peer) => this.#receive(frame, peer),
+      onLink: ({ isOpen, node, reason, lostCalls }) =>
+        this.#options.log.write("info", isOpen ? "link_opened" : "link_lost", {
+          peer: node,
+          reason,
+          lost_calls: lostCalls,
+        }),
+    });
+    this.#channels.set(node, channel);
+    return channel;
+  }
+
+  #check(): void {
+    this.#peers.check();
+    this.#peers.tellLoad();
+    this.#channels.forEach((channel) => {
+      channel.check();
+      if (!channel.isReachable) channel.open();
+    });
+  }
+}
--- /dev/null
+++ b/packages/sidecar/sidecar_settings.ts
@@ -0,0 +1,40 @@
+/** Host and port that a process listens on. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Settings of the node beside one worker. */
+export interface SidecarSettings {
+  /** Name of the node; unique among all hosts. */
+  readonly node: string;
+  readonly dataCentre: string;
+  /** Service of the worker on this host. */
+  readonly service: string;
+  /** Address of the worker as host:port. */
+  readonly workerAddress: string;
+  /** Where callers on this host send their requests. */
+  readonly callAddress: ListenAddress;
+  /** Where the nodes of other hosts open links. */
+  readonly linkAddress: ListenAddress;
+  /** Memory that the process may use, in megabytes. */
+  readonly memoryMb: number;
+  /** Usual time between two statements of the worker, in milliseconds. */
+  readonly heartbeatMs: number;
+  /** Time for a graceful stop, in milliseconds. */
+  readonly graceMs: number;
+  /** Time within which a configuration must be in force, in milliseconds. */
+  readonly configurationMs: number;
+  /** Bound of the repeats that all nodes together send to a service. */
+  readonly retries: FleetRetryBound;
+}
+
+/** Bound of the repeats that all nodes together send to a service. */
+export interface FleetRetryBound {
+  /** Repeats for each request. */
+  readonly ratio: number;
+  /** Repeats in a window that need no requests. */
+  readonly constant: number;
+  /** Length of the window in milliseconds. */
+  readonly windowMs: number;
+}
--- /dev/null
+++ b/packages/sidecar/store_follower.ts
@@ -0,0 +1,218 @@
+import {
+  type ConfigurationHolder,
+  isSameRecord,
+  type PlatformRecords,
+  type WorkerDirectory,
+  type WorkerRecord,
+} from "@oleanderdeck/directory";
+import type { EventLog } from "@oleanderdeck/observability";
+
+/** Longest time that one watch waits, in milliseconds. */
+const WATCH_WAIT_MS = 10_000;
+
+/** First and longest pause after a failed call, in milliseconds. */
+const FIRST_PAUSE_MS = 100;
+const LONGEST_PAUSE_MS = 500;
+
+/** Options of {@linkcode StoreFollower}. */
+export interface StoreFollowerOptions {
+  readonly records: PlatformRecords;
+  readonly directory: WorkerDirectory;
+  readonly configuration: ConfigurationHolder;
+  readonly log: EventLog;
+  /** Name of this node's own record. */
+  readonly node: string;
+  /** Called with what the store held of this node when it started. */
+  readonly onOwnRecord: (record: WorkerRecord | undefined) => void;
+}
+
+/**
+ * Keeps the directory and the configuration at the state of the platform's
+ * store, and the store's record of this node at the state of the node. Each
+ * lasts through outages of the store: what is known stays in use.
+ */
+export class StoreFollower {
+  readonly #options: StoreFollowerOptions;
+  #wanted: WorkerRecord | undefined;
+  #isLeaving = false;
+  #wake: (() => void) | undefined;
+  #isClosed = false;
+  #isAway = false;
+  #contactAt = -Infinity;
+
+  /** @param options Store and what is kept at its state. */
+  constructor(options: StoreFollowerOptions) {
+    this.#options = options;
+  }
+
+  /** Time since the store last answered about the configuration. */
+  get silentMs(): number {
+    return performance.now() - this.#contactAt;
+  }
+
+  /** Starts the three tasks. */
+  start(): void {
+    void this.#followConfiguration();
+    void this.#followRecords();
+    void this.#keepOwnRecord();
+  }
+
+  /** Sets the record that the store is to hold of this node. */
+  publish(record: WorkerRecord): void {
+    if (this.#wanted !== undefined && isSameRecord(this.#wanted, record)) {
+      return;
+    }
+    this.#wanted = record;
+    this.#wake?.();
+  }
+
+  /** Removes the record of this node from the store. */
+  withdraw(): void {
+    this.#isLeaving = true;
+    this.#wake?.();
+  }
+
+  /** Ends the tasks. */
+  close(): void {
+    this.#isClosed = true;
+    this.#wake?.();
+  }
+
+  async #followConfiguration(): Promise<void> {
+    const { records, configuration } = this.#options;
+    let revision = 0;
+    let failures = 0;
+    while (!this.#isClosed) {
+      try {
+        const stored = revision === 0
+          ? await records.readConfiguration()
+          : await records.watchConfiguration(revision, WATCH_WAIT_MS);
+        failures = 0;
+        this.#noteContact();
+        revision = stored?.revision ?? 0;
+        if (stored?.configuration !== undefined) {
+          configuration.put(stored.configuration);
+        } else if (configuration.version === 0) await pause(FIRST_PAUSE_MS);
+      } catch (error) {
+        this.#noteFailure("configuration", error);
+        await pause(pauseAfter(failures++));
+      }
+    }
+  }
+
+  async #followRecords(): Promise<void> {
+    const { records, directory } = this.#options;
+    let revision = 0;
+    let failures = 0;
+    while (!this.#isClosed) {
+      try {
+        if (revision === 0) {
+          const listing = await records.listRecords();
+          revision = listing.revision;
+          directory.replaceAll(listing.records, revision);
+        } else {
+          const changes = await records.watchRecords(revision, WATCH_WAIT_MS);
+          if (changes.isHistoryGone) revision = 0;
+          else {
+            changes.changes.forEach(({ node, record, revision }) =>
+              record === undefined
+                ? directory.remove(node, revision)
+                : directory.put({ record, revision })
+            );
+            revision = changes.revision;
+          }
+        }
+        failures = 0;
+        this.#wake?.();
+      } catch (error) {
+        this.#noteFailure("records", error);
+        await pause(pauseAfter(failures++));
+      }
+    }
+  }
+
+  async #keepOwnRecord(): Promise<void> {
+    const { records, directory, node } = this.#options;
+    let failures = 0;
+    let revision: number | undefined;
+    while (!this.#isClosed) {
+      try {
+        if (revision === undefined) {
+          const own = await records.readRecord(node);
+          revision = own.revision;
+          if (own.record !== undefined) {
+            directory.put({ record: own.record, revision });
+          }
+          this.#options.onOwnRecord(own.record);
+        }
+        const written: number | undefined | "unchanged" = await this
+          .#writeOwnRecord(revision);
+        if (written === "unchanged") await this.#woken();
+        revision = written === "unchanged"
+          ? directory.revisionOf(node)
+          : written;
+        failures = 0;
+      } catch (error) {
+        this.#noteFailure("own_record", error);
+        revision = undefined;
+        await pause(pauseAfter(failures++));
+      }
+    }
+  }
+
+  // Returns the new revision; undefined if the store holds another one.
+  async #writeOwnRecord(
+    revision: number,
+  ): Promise<number | undefined | "unchanged"> {
+    const { records, directory, node } = this.#options;
+    const known = directory.get(node);
+    if (this.#isLeaving) {
+      if (known === undefined) return "unchanged";
+      await records.deleteRecord(node, revision);
+      directory.remove(node, revision);
+      return "unchanged";
+    }
+    const wanted = this.#wanted;
+    if (wanted === undefined) return "unchanged";
+    if (known !== undefined && isSameRecord(known, wanted)) return "unchanged";
+    const written = await records.writeRecord(wanted, revision);
+    if (written !== undefined) {
+      directory.put({ record: wanted, revision: written });
+    }
+    return written;
+  }
+
+  #woken(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#wake = () => {
+        this.#wake = undefined;
+        resolve();
+      };
+    });
+  }
+
+  #noteContact(): void {
+    this.#contactAt = performance.now();
+    if (!this.#isAway) return;
+    this.#isAway = false;
+    this.#options.log.write("info", "store_regained");
+  }
+
+  #noteFailure(task: string, error: unknown): void {
+    if (this.#isAway || this.#isClosed) return;
+    this.#isAway = true;
+    this.#options.log.write("warn", "store_lost", {
+      task,
+      reason: error instanceof Error ? error.message : String(error),
+    });
+  }
+}
+
+function pauseAfter(failures: number): number {
+  const longest = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** failures);
+  return longest * (0.5 + Math.random() / 2);
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
