Propagate overload to the first hop and count repeats over the chain

Cause: a deep service that is short of slots refused calls whose parents had already worked, and repeats of a parent were counted as first calls below.

Change: the gate measures refusals, load reports carry the pressure of a service and of what it calls, the first hop refuses the least important requests by it. Nested calls rank before new chains and inherit whether they are repeats.

--- a/packages/calling/call_task.ts
+++ b/packages/calling/call_task.ts
@@ -32,6 +32,8 @@
   readonly latencyTargetMs: number;
   /** Rank of the request; 0 is served first. */
   readonly rank: number;
+  /** Whether a request that led to this one was sent again. */
+  readonly isRepeat: boolean;
   /** Time of the process at which the caller needs an answer. */
   readonly deadline: number;
 }
@@ -107,7 +109,8 @@
 
   /** Sends the request to its first worker. */
   start(): void {
-    this.#options.allowance.countFirst(this.#request.service);
+    const { isRepeat, service } = this.#request;
+    this.#options.allowance.countFirst(service, isRepeat);
     this.#send("no_worker");
   }
 
@@ -137,6 +140,7 @@
       isIdempotent,
       latencyTargetMs,
       rank,
+      isRepeat: this.#request.isRepeat || this.#attempts > 0,
       timeLeftMs: deadline - performance.now(),
     }, { service, finish: (result) => this.#receive(result) });
   }
--- a/packages/calling/caller_edge.ts
+++ b/packages/calling/caller_edge.ts
@@ -15,9 +15,13 @@
   endToEndLines,
   fieldOf,
   type HeaderNames,
+  rankOfNested,
+  rankOfRoot,
+  type WorkerCall,
 } from "@oleanderdeck/serving";
 import { type CallerRequest, CallTask, type TaskResult } from "./call_task.ts";
 import type { RetryAllowance } from "./retry_allowance.ts";
+import { RootShedding } from "./root_shedding.ts";
 import { RouteTable } from "./route_table.ts";
 import type { WorkerChannel } from "./worker_channel.ts";
 
@@ -30,6 +34,9 @@
 /** Time before the caller's deadline at which it gets an answer. */
 const ANSWER_MARGIN_MS = 15;
 
+/** Least pause that the caller of a shed request is told, in milliseconds. */
+const SHED_RETRY_AFTER_MS = 500;
+
 /** Limits before the first configuration is known. */
 const INITIAL_LIMITS: CallerLimits = {
   maxHeaderBytes: 65_536,
@@ -47,10 +54,14 @@
   readonly configuration: ConfigurationHolder;
   readonly allowance: RetryAllowance;
   readonly channels: (service: string) => readonly WorkerChannel[];
+  /** Overload of a service and of those that it calls, 0 to 1. */
+  readonly pressureOf: (service: string) => number;
+  /** Called with the service of each call of the worker on this host. */
+  readonly onNestedCall: (service: string) => void;
   /** Bytes of request bodies that may be held at the same time. */
   readonly maxHeldBytes: number;
-  /** Whether a request comes from the worker on this host. */
-  readonly isFromWorker: (request: IncomingMessage) => boolean;
+  /** Request at the worker on this host that a call belongs to. */
+  readonly parentOf: (requestId: string) => WorkerCall | undefined;
   /** Whether the configuration in force may be older than the operator's. */
   readonly mayBeOutdated: () => boolean;
   readonly onRefusal?: (refusal: EdgeRefusal) => void;
@@ -71,6 +82,7 @@
 export class CallerEdge {
   readonly #options: CallerEdgeOptions;
   readonly #server: Server;
+  readonly #shedding = new RootShedding();
   #routes: RouteTable | undefined;
   #limits = INITIAL_LIMITS;
   #heldBytes = 0;
@@ -197,6 +209,15 @@
     const { request, response, arrivedAt } = exchange;
     const { route, service, requestId, lines, chunks } = parts;
     const { names } = this.#options;
+    const parent = this.#options.parentOf(requestId);
+    if (parent !== undefined) this.#options.onNestedCall(service);
+    else if (this.#isShed(route, service)) {
+      return this.#refuse(exchange, "downstream_pressure", {
+        requestId,
+        service,
+        retryAfterMs: SHED_RETRY_AFTER_MS * (1 + Math.random()),
+      });
+    }
     const callerRequest: CallerRequest = {
       requestId,
       method: request.method ?? "GET",
@@ -207,7 +228,10 @@
       isIdempotent: route.kind === "safe",
       maxAttempts: route.maxAttempts,
       latencyTargetMs: route.latencyTargetMs ?? DEFAULT_LATENCY_TARGET_MS,
-      rank: this.#options.isFromWorker(request) ? 0 : 1 + route.priority,
+      rank: parent === undefined
+        ? rankOfRoot(route.priority)
+        : rankOfNested(parent.rank),
+      isRepeat: parent?.isRepeat ?? false,
       deadline: arrivedAt +
         timeLimitMs(route, fieldOf(lines, names.timeLeftMs)),
     };
@@ -222,6 +246,12 @@
     task.start();
   }
 
+  #isShed({ priority }: Route, service: string): boolean {
+    this.#shedding.note(priority);
+    const pressure = this.#options.pressureOf(service);
+    return Math.random() < this.#shedding.share(priority, pressure);
+  }
+
   #linesForWorker(lines: readonly string[]): string[] {
     const { names, callerService } = this.#options;
     const replaced = [
--- a/packages/calling/mod.ts
+++ b/packages/calling/mod.ts
@@ -10,6 +10,7 @@
 export * from "./local_channel.ts";
 export * from "./peer_channel.ts";
 export * from "./retry_allowance.ts";
+export * from "./root_shedding.ts";
 export * from "./route_table.ts";
 export * from "./worker_channel.ts";
 export * from "./worker_choice.ts";
--- a/packages/calling/peer_channel.ts
+++ b/packages/calling/peer_channel.ts
@@ -113,6 +113,7 @@
           latencyTargetMs: call.latencyTargetMs,
           rank: call.rank,
           isIdempotent: call.isIdempotent,
+          isRepeat: call.isRepeat,
           body: call.body,
         });
       },
--- a/packages/calling/retry_allowance.ts
+++ b/packages/calling/retry_allowance.ts
@@ -5,8 +5,8 @@
 export interface RetryAllowanceOptions {
   /** Repeats for each first attempt that this node may send. */
   readonly ratio: number;
-  /** Repeats in a window that need no first attempts. */
-  readonly constant: number;
+  /** Repeats in a window that need no first attempts, at present. */
+  readonly constant: () => number;
   /** Length of the window in milliseconds. */
   readonly windowMs: number;
 }
@@ -31,9 +31,17 @@
     this.#options = options;
   }
 
-  /** Counts a first attempt. */
-  countFirst(service: string): void {
-    this.#bucket(service).first++;
+  /**
+   * Counts a first attempt.
+   *
+   * @param service Service that is called.
+   * @param isRepeat Whether a repeat further up led to it; it then uses up the
+   * allowance as well.
+   */
+  countFirst(service: string, isRepeat: boolean): void {
+    const bucket = this.#bucket(service);
+    bucket.first++;
+    if (isRepeat) bucket.repeats++;
   }
 
   /** Uses one repeat if the allowance has one left. */
@@ -48,7 +56,7 @@
       repeats += entry.repeats;
     }
     const { constant, ratio } = this.#options;
-    if (repeats + 1 > constant + ratio * first) return false;
+    if (repeats + 1 > constant() + ratio * first) return false;
     bucket.repeats++;
     return true;
   }
--- a/packages/calling/worker_choice.ts
+++ b/packages/calling/worker_choice.ts
@@ -6,7 +6,7 @@
  */
 const OWN_DATA_CENTRE_BONUS_MS = 30;
 
-/** Load that is assumed of a worker that has not reported any. */
+/** Hold time that is assumed while no worker of a service has reported any. */
 const UNKNOWN_HOLD_MS = 50;
 
 /** Greatest share of failures that still lets a worker be tried. */
@@ -31,11 +31,15 @@
   channels: readonly WorkerChannel[],
   options: ChannelChoiceOptions,
 ): WorkerChannel | undefined {
+  const usualHoldMs = meanHoldMs(channels);
   let best: WorkerChannel | undefined;
   let least = Infinity;
   for (const channel of channels) {
     if (options.excluded.has(channel.node) || !channel.isReachable) continue;
-    const cost = expectedCostMs(channel, options.dataCentre);
+    const cost = expectedCostMs(channel, {
+      dataCentre: options.dataCentre,
+      usualHoldMs,
+    });
     // Nodes with equal figures must not all choose the same worker.
     const jittered = cost * (1 + 0.05 * Math.random());
     if (jittered < least) {
@@ -46,13 +50,31 @@
   return best;
 }
 
-function expectedCostMs(channel: WorkerChannel, dataCentre: string): number {
+function meanHoldMs(channels: readonly WorkerChannel[]): number {
+  const reported = channels.flatMap(({ load }) =>
+    load === undefined || load.slots === 0 ? [] : [load.holdMs]
+  );
+  return reported.length === 0
+    ? UNKNOWN_HOLD_MS
+    : reported.reduce((sum, value) => sum + value, 0) / reported.length;
+}
+
+interface CostOptions {
+  readonly dataCentre: string;
+  readonly usualHoldMs: number;
+}
+
+function expectedCostMs(
+  channel: WorkerChannel,
+  { dataCentre, usualHoldMs }: CostOptions,
+): number {
   const distance = channel.dataCentre === dataCentre
     ? 0
     : OWN_DATA_CENTRE_BONUS_MS;
   const { load } = channel;
   if (load === undefined) {
-    return UNKNOWN_HOLD_MS * (1 + channel.unfinished) + distance;
+    // A worker that has not been tried yet is taken for an idle one.
+    return usualHoldMs * (1 + channel.unfinished) / 2 + distance;
   }
   if (load.slots === 0) return Infinity;
   const busy = Math.max(load.running + load.waiting, channel.unfinished) + 1;
--- a/packages/hop/frame.ts
+++ b/packages/hop/frame.ts
@@ -45,6 +45,11 @@
   /** Rank of the request; 0 is served first. */
   readonly rank: number;
   readonly isIdempotent: boolean;
+  /**
+   * Whether the request, or one that led to it, was sent to another worker
+   * before.
+   */
+  readonly isRepeat: boolean;
   readonly body: Buffer;
 }
 
--- a/packages/hop/frame_codec.ts
+++ b/packages/hop/frame_codec.ts
@@ -35,6 +35,7 @@
     "latencyTargetMs",
     "rank",
     "isIdempotent",
+    "isRepeat",
   ],
   cancel: ["id"],
   answer: ["id", "status", "headers", "load"],
--- /dev/null
+++ b/packages/hop/frame_codec_test.ts
@@ -0,0 +1,76 @@
+import { expect, test } from "vitest";
+import { type Frame, FrameReader, type LoadReport } from "./mod.ts";
+import { encodeFrame } from "./frame_codec.ts";
+
+const load: LoadReport = {
+  running: 3,
+  waiting: 1,
+  slots: 16,
+  holdMs: 42,
+  failureShare: 0.25,
+  pressure: 0.5,
+};
+
+const call: Frame = {
+  kind: "call",
+  id: 7,
+  service: "menus",
+  requestId: "a1",
+  method: "POST",
+  target: "/menus/1?day=2",
+  headers: ["Host", "menus.example", "X-Note", "grüße"],
+  timeLeftMs: 900,
+  latencyTargetMs: 400,
+  rank: 9,
+  isIdempotent: false,
+  isRepeat: true,
+  body: Buffer.from("four courses"),
+};
+
+function decode(bytes: Buffer): readonly Frame[] {
+  return new FrameReader().read(bytes);
+}
+
+function encode(...frames: readonly Frame[]): Buffer {
+  return Buffer.concat(frames.flatMap(encodeFrame));
+}
+
+test("a call arrives with all its fields and its body", () => {
+  expect(decode(encode(call))[0]).toEqual(call);
+});
+
+test("an answer keeps the load report", () => {
+  const [frame] = decode(encode({
+    kind: "answer",
+    id: 7,
+    status: 200,
+    headers: ["A", "b"],
+    load,
+    body: Buffer.from([0, 255]),
+  }));
+  expect(frame).toMatchObject({ load, body: Buffer.from([0, 255]) });
+});
+
+// Guards against frames that are lost or split where the network cuts them.
+test("frames survive any division into chunks", () => {
+  const bytes = encode(call, { kind: "ping" }, { kind: "cancel", id: 9 });
+  for (let size = 1; size < bytes.length; size++) {
+    const reader = new FrameReader();
+    const kinds: string[] = [];
+    for (let at = 0; at < bytes.length; at += size) {
+      const frames = reader.read(bytes.subarray(at, at + size));
+      kinds.push(...frames.map(({ kind }) => kind));
+    }
+    expect(kinds).toEqual(["call", "ping", "cancel"]);
+    expect(reader.buffered).toBe(0);
+  }
+});
+
+test("an unknown kind is an error", () => {
+  const bytes = Buffer.from([0, 0, 0, 8, 0, 0, 0, 4, 91, 57, 57, 93]);
+  expect(() => decode(bytes)).toThrow("Unknown frame kind");
+});
+
+test("a length beyond the limit is an error", () => {
+  expect(() => decode(Buffer.alloc(8, 255))).toThrow("too long");
+});
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -6,6 +6,8 @@
  */
 
 export * from "./header_names.ts";
+export * from "./overload_meter.ts";
+export * from "./rank.ts";
 export * from "./ranked_queue.ts";
 export * from "./worker_call.ts";
 export * from "./worker_connections.ts";
--- /dev/null
+++ b/packages/serving/overload_meter.ts
@@ -0,0 +1,47 @@
+/** Rise of the pressure when all calls of an interval were refused. */
+const RISE_WHEN_ALL_REFUSED = 0.3;
+
+/** Rise while the queue is longer than half of the slots. */
+const RISE_WHEN_QUEUED = 0.03;
+
+/** Part of the pressure that remains after an interval without overload. */
+const REMAINDER = 0.92;
+
+/** Pressure below which there is none. */
+const NO_PRESSURE = 0.01;
+
+/** What the gate counted since the last interval. */
+export interface GateInterval {
+  /** Calls that arrived. */
+  readonly arrived: number;
+  /** Calls that were refused for want of a slot. */
+  readonly refused: number;
+  /** Calls that wait now. */
+  readonly waiting: number;
+  /** Calls that the worker may run at the same time. */
+  readonly slots: number;
+}
+
+/**
+ * Overload of the own worker, 0 to 1: rises while calls are refused and falls
+ * by itself. Callers that begin chains refuse the share of their requests that
+ * it stands for, the least important ones first.
+ */
+export class OverloadMeter {
+  #pressure = 0;
+
+  /** Overload of the own worker, 0 to 1. */
+  get pressure(): number {
+    return this.#pressure;
+  }
+
+  /** Takes the counts of one interval. */
+  update({ arrived, refused, waiting, slots }: GateInterval): void {
+    if (refused > 0) {
+      this.#pressure += RISE_WHEN_ALL_REFUSED * refused / Math.max(1, arrived);
+    } else if (waiting > slots / 2) this.#pressure += RISE_WHEN_QUEUED;
+    else this.#pressure *= REMAINDER;
+    if (this.#pressure > 1) this.#pressure = 1;
+    if (this.#pressure < NO_PRESSURE) this.#pressure = 0;
+  }
+}
--- a/packages/serving/worker_call.ts
+++ b/packages/serving/worker_call.ts
@@ -15,6 +15,11 @@
   /** Rank of the request; 0 is served first. */
   readonly rank: number;
   readonly isIdempotent: boolean;
+  /**
+   * Whether the request, or one that led to it, was sent to another worker
+   * before.
+   */
+  readonly isRepeat: boolean;
 }
 
 /** Complete answer of the worker. */
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -1,5 +1,6 @@
 import type { ErrorKind } from "@oleanderdeck/errors";
 import type { LoadReport } from "@oleanderdeck/hop";
+import type { GateInterval } from "./overload_meter.ts";
 import { RankedQueue } from "./ranked_queue.ts";
 import type { WorkerCall, WorkerResult } from "./worker_call.ts";
 import type {
@@ -63,9 +64,12 @@
 export class WorkerGate {
   readonly #options: WorkerGateOptions;
   readonly #queue = new RankedQueue<Entry>();
+  readonly #atWorker = new Map<string, WorkerCall>();
   #running = 0;
   #holdMs = INITIAL_HOLD_MS;
   #failureShare = 0;
+  #arrived = 0;
+  #refused = 0;
   #isClosed = false;
 
   /** @param options Worker, connections and header names. */
@@ -86,6 +90,17 @@
     return !this.#isClosed && this.#options.tracker.state.isReady;
   }
 
+  /**
+   * Finds the request that a call of the worker belongs to. The identity of
+   * such a call begins with that of the request, followed by a dot.
+   *
+   * @param requestId Identity of the call.
+   */
+  parentOf(requestId: string): WorkerCall | undefined {
+    const end = requestId.lastIndexOf(".");
+    return end < 0 ? undefined : this.#atWorker.get(requestId.slice(0, end));
+  }
+
   /** Present load, without the pressure of other services. */
   get load(): Omit<LoadReport, "pressure"> {
     return {
@@ -104,6 +119,7 @@
    * @param finish Receives the outcome once.
    */
   run(call: WorkerCall, finish: (result: WorkerResult) => void): GateTicket {
+    this.#arrived++;
     const entry: Entry = {
       rank: call.rank,
       call,
@@ -123,6 +139,19 @@
     return { cancel: () => this.#cancel(entry) };
   }
 
+  /** Counts since the last call of this method. */
+  takeInterval(): GateInterval {
+    const interval = {
+      arrived: this.#arrived,
+      refused: this.#refused,
+      waiting: this.#queue.length,
+      slots: this.#options.tracker.state.slots,
+    };
+    this.#arrived = 0;
+    this.#refused = 0;
+    return interval;
+  }
+
   /** Refuses all new and waiting calls; those at the worker go on. */
   close(): void {
     this.#isClosed = true;
@@ -159,6 +188,7 @@
     }
     const { names, connections, tracker } = this.#options;
     this.#running++;
+    this.#atWorker.set(entry.call.requestId, entry.call);
     entry.startedAt = now;
     let isFinished = false;
     entry.exchange = connections.send({
@@ -179,6 +209,7 @@
 
   #finish(entry: Entry, result: WorkerResult): void {
     this.#running--;
+    this.#atWorker.delete(entry.call.requestId);
     const isAnswer = result.kind === "answer";
     const isCancelled = !isAnswer && result.error === "caller_cancelled";
     if (isAnswer) {
@@ -224,6 +255,7 @@
   }
 
   #refuse(entry: Entry, error: ErrorKind): void {
+    if (error === "queue_full") this.#refused++;
     entry.finish({
       kind: "failure",
       error,
--- /dev/null
+++ b/packages/serving/worker_gate_test.ts
@@ -0,0 +1,151 @@
+import { afterEach, expect, test } from "vitest";
+import {
+  RankedQueue,
+  rankOfNested,
+  rankOfRoot,
+  WorkerConnections,
+  WorkerGate,
+  type WorkerResult,
+  WorkerTracker,
+} from "./mod.ts";
+import {
+  RawWorker,
+  type ReceivedRequest,
+  soundAnswer,
+  TEST_NAMES,
+  testCall,
+} from "./_test_worker.ts";
+
+const closers: (() => void)[] = [];
+afterEach(() => closers.splice(0).forEach((close) => close()));
+
+async function start(slots: number) {
+  const waiting: ReceivedRequest[] = [];
+  const worker = new RawWorker((request) => void waiting.push(request));
+  const address = await worker.listen();
+  const connections = new WorkerConnections({ address, names: TEST_NAMES });
+  const tracker = new WorkerTracker();
+  const gate = new WorkerGate({ tracker, connections, names: TEST_NAMES });
+  closers.push(() => connections.close(), () => worker.close());
+  const state = (state: "ready" | "draining", sequence: number) =>
+    tracker.take({
+      workerId: "i-1",
+      service: "menus",
+      address,
+      slots,
+      state,
+      sequence,
+      coldRemainingMs: 0,
+      startedAt: 1,
+    });
+  state("ready", 1);
+  const results = new Map<string, WorkerResult>();
+  const run = (requestId: string, change: Parameters<typeof testCall>[0] = {}) =>
+    gate.run(
+      testCall({ requestId, ...change }),
+      (result) => results.set(requestId, result),
+    );
+  const arrived = async (count: number) => {
+    await expect.poll(() => worker.received.length).toBe(count);
+    return worker.received.map(({ requestId }) => requestId);
+  };
+  const answer = () => {
+    const request = waiting.shift()!;
+    request.socket.write(soundAnswer(request.requestId));
+  };
+  return { gate, worker, state, run, results, arrived, answer };
+}
+
+test("a worker gets no more calls than it has slots", async () => {
+  const { run, arrived, gate } = await start(2);
+  ["a", "b", "c"].forEach((name) => run(name));
+  expect(await arrived(2)).toEqual(["a", "b"]);
+  expect(gate.load).toMatchObject({ running: 2, waiting: 1, slots: 2 });
+});
+
+test("the lowest rank is served first", async () => {
+  const { run, arrived, answer } = await start(1);
+  run("first");
+  run("late", { rank: rankOfRoot(2) });
+  run("soon", { rank: rankOfRoot(0) });
+  run("nested", { rank: rankOfNested(rankOfRoot(2)) });
+  await arrived(1);
+  answer();
+  await arrived(2);
+  answer();
+  expect(await arrived(3)).toEqual(["first", "nested", "soon"]);
+});
+
+// Guards against a call that waits so long that its answer is worthless.
+test("a call that would wait too long is refused unsent", async () => {
+  const { run, results, arrived } = await start(1);
+  run("first");
+  await arrived(1);
+  run("second", { latencyTargetMs: 10 });
+  expect(results.get("second")).toMatchObject({
+    error: "queue_full",
+    mayHaveRun: false,
+    wasSent: false,
+  });
+});
+
+// Guards against work that reaches a worker which said that it leaves.
+test("a draining worker gets nothing, also not from the queue", async () => {
+  const { run, results, arrived, answer, state, worker } = await start(1);
+  run("first");
+  run("queued");
+  await arrived(1);
+  state("draining", 2);
+  run("new");
+  expect(results.get("queued")).toMatchObject({ wasSent: false });
+  expect(results.get("new")).toMatchObject({ wasSent: false });
+  answer();
+  await expect.poll(() => results.get("first")?.kind).toBe("answer");
+  expect(worker.received).toHaveLength(1);
+});
+
+test("a call names the only worker that may run it", async () => {
+  const { run, arrived, worker } = await start(1);
+  run("a");
+  await arrived(1);
+  expect(worker.received[0]!.text).toContain("x-expected-worker: i-1");
+});
+
+// Guards against bookings that are cut off half way by an impatient caller.
+test("a non-idempotent call goes on when its caller has left", async () => {
+  const { run, results, arrived, answer } = await start(1);
+  const ticket = run("a", { isIdempotent: false });
+  await arrived(1);
+  ticket.cancel();
+  answer();
+  await expect.poll(() => results.get("a")?.kind).toBe("answer");
+});
+
+test("a waiting call that is cancelled is never sent", async () => {
+  const { run, results, arrived, answer, worker } = await start(1);
+  run("a");
+  const ticket = run("b", { isIdempotent: false });
+  await arrived(1);
+  ticket.cancel();
+  answer();
+  await expect.poll(() => results.get("a")?.kind).toBe("answer");
+  expect(results.get("b")).toMatchObject({ mayHaveRun: false });
+  expect(worker.received).toHaveLength(1);
+});
+
+test("a nested call finds the request that it belongs to", async () => {
+  const { run, arrived, gate } = await start(1);
+  run("a.b", { rank: 3 });
+  await arrived(1);
+  expect(gate.parentOf("a.b.c")?.rank).toBe(3);
+  expect(gate.parentOf("a.c")).toBeUndefined();
+});
+
+test("entries of a queue leave by rank and age", () => {
+  const queue = new RankedQueue<{ rank: number; name: string }>();
+  const entries = [[2, "x"], [0, "y"], [2, "z"], [0, "w"]] as const;
+  entries.forEach(([rank, name]) => queue.push({ rank, name }));
+  expect(queue.lengthBefore(1)).toBe(2);
+  const names = [1, 2, 3, 4].map(() => queue.shift()?.name);
+  expect(names).toEqual(["y", "w", "x", "z"]);
+});
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -17,6 +17,7 @@
 import type { EventLog } from "@oleanderdeck/observability";
 import {
   type HeaderNames,
+  OverloadMeter,
   WorkerConnections,
   WorkerGate,
   type WorkerStatement,
@@ -35,8 +36,11 @@
 /** Share of the process's memory that request bodies may use. */
 const HELD_BODIES_SHARE = 0.3;
 
-/** Depth of call chains over which the retry bound is divided. */
-const RETRY_DEPTH = 4;
+/**
+ * Part of the fleet's retry bound that is used. The rest covers repeats whose
+ * cause a restarted node no longer knows.
+ */
+const OWN_RETRY_SHARE = 0.7;
 
 /** Time without requests after which a stopping node ends, in milliseconds. */
 const QUIET_MS = 1_200;
@@ -52,6 +56,9 @@
   readonly log: EventLog;
 }
 
+/** Time for which a service counts as called by the own worker. */
+const CALLED_SERVICE_MS = 5_000;
+
 /** What one node passes on to another that cannot reach the store. */
 interface Knowledge {
   readonly configuration: Configuration | undefined;
@@ -75,6 +82,9 @@
   readonly #store: StoreFollower;
   readonly #local: LocalChannel;
   readonly #channels = new Map<string, PeerChannel>();
+  readonly #meter = new OverloadMeter();
+  readonly #calledServices = new Map<string, number>();
+  #pressure = 0;
   #tick: NodeJS.Timeout | undefined;
   #isStopping = false;
   #isWorkerUnreachable = false;
@@ -111,13 +121,18 @@
       dataCentre: settings.dataCentre,
       configuration: this.#configuration,
       allowance: new RetryAllowance({
-        ratio: settings.retries.ratio / RETRY_DEPTH,
-        constant: 1,
+        ratio: settings.retries.ratio * OWN_RETRY_SHARE,
+        constant: () =>
+          OWN_RETRY_SHARE * settings.retries.constant /
+          Math.max(1, this.#directory.size),
         windowMs: settings.retries.windowMs,
       }),
       channels: (service) => this.#channelsOf(service),
+      pressureOf: (service) => this.#pressureOf(service),
+      onNestedCall: (service) =>
+        this.#calledServices.set(service, performance.now()),
       maxHeldBytes: settings.memoryMb * 1024 * 1024 * HELD_BODIES_SHARE,
-      isFromWorker: () => false,
+      parentOf: (requestId) => this.#gate.parentOf(requestId),
       mayBeOutdated: () => this.#store.silentMs > 30_000,
       onRefusal: ({ requestId, service, error, status, elapsedMs }) =>
         log.write("info", "request_refused", {
@@ -219,7 +234,29 @@
   }
 
   #load(): LoadReport {
-    return { ...this.#gate.load, pressure: 0 };
+    return { ...this.#gate.load, pressure: this.#pressure };
+  }
+
+  // Overload of the own worker and of the services that it calls.
+  #updatePressure(): void {
+    this.#updatePressure();
+    const since = performance.now() - CALLED_SERVICE_MS;
+    const { service: ownService } = this.#options.settings;
+    const called = [...this.#calledServices]
+      .filter(([name, calledAt]) => calledAt > since && name !== ownService)
+      .map(([name]) => this.#pressureOf(name));
+    const pressure = Math.max(this.#meter.pressure, ...called);
+    this.#pressure = Math.round(pressure * 100) / 100;
+  }
+
+  // Mean over the workers, since calls are spread over all of them.
+  #pressureOf(service: string): number {
+    const reported = this.#channelsOf(service).flatMap((channel) => {
+      return channel.load === undefined ? [] : [channel.load.pressure];
+    });
+    return reported.length === 0
+      ? 0
+      : reported.reduce((sum, value) => sum + value, 0) / reported.length;
   }
 
   #hello(): HelloFrame {
@@ -333,6 +370,7 @@
   }
 
   #check(): void {
+    this.#meter.update(this.#gate.takeInterval());
     this.#peers.check();
     this.#peers.tellLoad();
     this.#channels.forEach((channel) => {
