Let calls within a chain wait as long as their answer is of use

Load was ruled out: the workroom ran at 60%.

Change: only requests that begin a chain have the short wait.

--- a/packages/serving/rank.ts
+++ b/packages/serving/rank.ts
@@ -19,3 +19,8 @@
 export function rankOfNested(parentRank: number): number {
   return parentRank % PRIORITIES;
 }
+
+/** Tells whether a rank is that of a call within a chain. */
+export function isNestedRank(rank: number): boolean {
+  return rank < PRIORITIES;
+}
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -1,6 +1,7 @@
 import type { ErrorKind } from "@oleanderdeck/errors";
 import type { LoadReport } from "@oleanderdeck/hop";
 import type { GateInterval } from "./overload_meter.ts";
+import { isNestedRank } from "./rank.ts";
 import { RankedQueue } from "./ranked_queue.ts";
 import type { WorkerCall, WorkerResult } from "./worker_call.ts";
 import type {
@@ -17,8 +18,10 @@
 const INITIAL_HOLD_MS = 50;
 
 /**
- * Share of a call's latency target that it may wait for a slot. A longer wait
- * would make answers late without serving more calls.
+ * Share of its latency target that a request which begins a chain may wait for
+ * a slot. A longer wait would make answers late without serving more. Calls
+ * within a chain wait as long as their answer can still be of use, since the
+ * work above them is lost otherwise.
  */
 const WAIT_SHARE_OF_TARGET = 0.3;
 
@@ -160,10 +163,10 @@
 
   #enqueue(entry: Entry): void {
     const { call } = entry;
-    const longest = Math.min(
-      call.latencyTargetMs * WAIT_SHARE_OF_TARGET,
-      call.timeLeftMs - this.#holdMs,
-    );
+    const latest = call.timeLeftMs - 2 * this.#holdMs;
+    const longest = isNestedRank(call.rank)
+      ? latest
+      : Math.min(call.latencyTargetMs * WAIT_SHARE_OF_TARGET, latest);
     if (this.#expectedWaitMs(entry.rank) > longest) {
       return this.#refuse(entry, "queue_full");
     }
--- a/packages/serving/worker_gate_test.ts
+++ b/packages/serving/worker_gate_test.ts
@@ -40,7 +40,10 @@
     });
   state("ready", 1);
   const results = new Map<string, WorkerResult>();
-  const run = (requestId: string, change: Parameters<typeof testCall>[0] = {}) =>
+  const run = (
+    requestId: string,
+    change: Parameters<typeof testCall>[0] = {},
+  ) =>
     gate.run(
       testCall({ requestId, ...change }),
       (result) => results.set(requestId, result),
