--- /dev/null
+++ b/packages/calling/_test_channel.ts
@@ -0,0 +1,81 @@
+import type { LoadReport } from "@oleanderdeck/hop";
+import type {
+  GateTicket,
+  WorkerCall,
+  WorkerResult,
+} from "@oleanderdeck/serving";
+import { type ChannelRunOptions, WorkerChannel } from "./mod.ts";
+
+/** Load of an idle worker with ten slots. */
+export const IDLE: LoadReport = {
+  running: 0,
+  waiting: 0,
+  slots: 10,
+  holdMs: 40,
+  failureShare: 0,
+  pressure: 0,
+};
+
+/** Channel whose outcomes a test decides. */
+export class TestChannel extends WorkerChannel {
+  readonly node: string;
+  readonly dataCentre: string;
+  load: LoadReport | undefined;
+  unfinished = 0;
+  isReachable = true;
+  readonly calls: WorkerCall[] = [];
+  readonly cancelled: string[] = [];
+  readonly #respond: (call: WorkerCall) => WorkerResult | undefined;
+
+  constructor(
+    node: string,
+    respond: (call: WorkerCall) => WorkerResult | undefined,
+    load: Partial<LoadReport> & { readonly dataCentre?: string } = {},
+  ) {
+    super();
+    const { dataCentre = "wa-a", ...report } = load;
+    this.node = node;
+    this.dataCentre = dataCentre;
+    this.load = { ...IDLE, ...report };
+    this.#respond = respond;
+  }
+
+  run(call: WorkerCall, { finish }: ChannelRunOptions): GateTicket {
+    this.calls.push(call);
+    const result = this.#respond(call);
+    if (result !== undefined) queueMicrotask(() => finish(result));
+    return { cancel: () => this.cancelled.push(call.requestId) };
+  }
+}
+
+/** A whole answer. */
+export function answered(status = 200): WorkerResult {
+  return { kind: "answer", status, headers: [], body: Buffer.from("ok") };
+}
+
+/** A call that was refused unsent. */
+export const REFUSED: WorkerResult = {
+  kind: "failure",
+  error: "queue_full",
+  mayHaveRun: false,
+  wasSent: false,
+  retryAfterMs: 120,
+};
+
+/** A call that the worker refused. */
+export const SHED: WorkerResult = {
+  kind: "failure",
+  error: "worker_refused",
+  mayHaveRun: false,
+  wasSent: true,
+  retryAfterMs: 80,
+};
+
+/** A call whose outcome is unknown. */
+export const LOST: WorkerResult = {
+  kind: "failure",
+  error: "connection_lost",
+  mayHaveRun: true,
+  wasSent: true,
+  retryAfterMs: 0,
+};
--- /dev/null
+++ b/packages/calling/call_task_test.ts
@@ -0,0 +1,133 @@
+import { expect, test } from "vitest";
+import type { WorkerCall, WorkerResult } from "@oleanderdeck/serving";
+import {
+  type CallerRequest,
+  CallTask,
+  RetryAllowance,
+  type TaskResult,
+} from "./mod.ts";
+import { answered, LOST, REFUSED, SHED, TestChannel } from "./_test_channel.ts";
+
+interface TaskOptions {
+  readonly request?: Partial<CallerRequest>;
+  readonly repeats?: number;
+}
+
+function start(channels: readonly TestChannel[], options: TaskOptions = {}) {
+  let finish: (result: TaskResult) => void = () => undefined;
+  const result = new Promise<TaskResult>((resolve) => finish = resolve);
+  const task = new CallTask({
+    requestId: "r1",
+    method: "GET",
+    target: "/menus/1",
+    headers: [],
+    body: Buffer.alloc(0),
+    service: "menus",
+    isIdempotent: true,
+    maxAttempts: 2,
+    latencyTargetMs: 500,
+    rank: 8,
+    isRepeat: false,
+    deadline: performance.now() + 500,
+    ...options.request,
+  }, {
+    dataCentre: "wa-a",
+    channels: () => channels,
+    allowance: new RetryAllowance({
+      ratio: 0,
+      constant: () => options.repeats ?? 10,
+      windowMs: 10_000,
+    }),
+    finish,
+  });
+  task.start();
+  return { task, result };
+}
+
+const always = (result: WorkerResult) => () => result;
+const unsafe = { isIdempotent: false };
+
+function runs(channels: readonly TestChannel[]): readonly WorkerCall[] {
+  return channels.flatMap(({ calls }) => calls);
+}
+
+test("an answer is passed on", async () => {
+  const { result } = start([new TestChannel("a", always(answered(201)))]);
+  expect(await result).toMatchObject({ kind: "answer", status: 201 });
+});
+
+test("a refusal before the worker leads to another worker", async () => {
+  const full = new TestChannel("a", always(REFUSED));
+  const free = new TestChannel("b", always(answered()), { holdMs: 400 });
+  const { result } = start([full, free], { request: unsafe, repeats: 0 });
+  expect(await result).toMatchObject({ status: 200 });
+});
+
+// Guards against a booking that is made twice.
+test("a non-idempotent call with unknown outcome is not repeated", async () => {
+  const channels = ["a", "b"].map((name) =>
+    new TestChannel(name, always(LOST))
+  );
+  const { result } = start(channels, { request: unsafe });
+  expect(await result).toMatchObject({ status: 502, error: "connection_lost" });
+  expect(runs(channels)).toHaveLength(1);
+});
+
+test("an idempotent call with unknown outcome is repeated once", async () => {
+  const channels = ["a", "b", "c"].map((name) =>
+    new TestChannel(name, always(LOST))
+  );
+  const { result } = start(channels);
+  expect(await result).toMatchObject({ status: 502 });
+  const repeats = runs(channels).map(({ isRepeat }) => isRepeat);
+  expect(repeats.sort()).toEqual([false, true]);
+});
+
+// Guards against repeats beyond the bound of the fleet.
+test("no repeat is sent beyond the allowance", async () => {
+  const channels = ["a", "b"].map((name) =>
+    new TestChannel(name, always(SHED))
+  );
+  const { result } = start(channels, { repeats: 0 });
+  expect(await result).toMatchObject({ status: 503, retryAfterMs: 80 });
+  expect(runs(channels)).toHaveLength(1);
+});
+
+// Guards against a status that promises 'not run' after a run.
+test("a refusal after a lost attempt promises nothing", async () => {
+  const lost = new TestChannel("a", always(LOST));
+  const full = new TestChannel("b", always(REFUSED), { holdMs: 400 });
+  const { result } = start([lost, full]);
+  expect(await result).toMatchObject({ status: 502 });
+});
+
+test("an answer is due at the deadline, and the worker may stop", async () => {
+  const silent = new TestChannel("a", () => undefined);
+  const { result } = start([silent], {
+    request: { deadline: performance.now() + 30 },
+  });
+  expect(await result).toMatchObject({ status: 504 });
+  expect(silent.cancelled).toEqual(["r1"]);
+});
+
+test("the worker is told the time that is left", async () => {
+  const channel = new TestChannel("a", always(answered()));
+  await start([channel]).result;
+  expect(channel.calls[0]!.timeLeftMs).toBeLessThanOrEqual(500);
+  expect(channel.calls[0]!.timeLeftMs).toBeGreaterThan(400);
+});
+
+test("without any worker the refusal says when to come back", async () => {
+  const { result } = start([]);
+  const refusal = await result;
+  expect(refusal).toMatchObject({ status: 503, error: "no_worker" });
+  expect(refusal).toHaveProperty("retryAfterMs", 500);
+});
+
+test("a failed idempotent call is repeated, a booking is not", async () => {
+  const failing = () => new TestChannel("a", always(answered(500)));
+  const sound = new TestChannel("b", always(answered()), { holdMs: 400 });
+  expect(await start([failing(), sound]).result).toMatchObject({ status: 200 });
+  expect(await start([failing(), sound], { request: unsafe }).result)
+    .toMatchObject({ status: 500 });
+});
--- /dev/null
+++ b/packages/calling/routing_test.ts
@@ -0,0 +1,152 @@
+import { expect, test } from "vitest";
+import type { Route, ServiceShare } from "@oleanderdeck/directory";
+import {
+  chooseChannel,
+  RetryAllowance,
+  RootShedding,
+  RouteTable,
+} from "./mod.ts";
+import { answered, TestChannel } from "./_test_channel.ts";
+
+function route(pathPrefix: string, shares: readonly ServiceShare[]): Route {
+  return {
+    name: pathPrefix,
+    host: "menus.example",
+    pathPrefix,
+    kind: "safe",
+    timeoutMs: 1_000,
+    latencyTargetMs: 500,
+    maxAttempts: 2,
+    priority: 0,
+    shares,
+  };
+}
+
+function table(routes: readonly Route[]): RouteTable {
+  return new RouteTable({
+    version: 1,
+    routes,
+    services: [],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  });
+}
+
+const menus = [{ service: "menus", weight: 1 }];
+
+test("the longest prefix wins", () => {
+  const routes = table([route("/a/", menus), route("/a/b/", menus)]);
+  expect(routes.find("menus.example:80", "/a/b/c?x=/z")?.pathPrefix)
+    .toBe("/a/b/");
+  expect(routes.find("MENUS.example", "/a/c")?.pathPrefix).toBe("/a/");
+  expect(routes.find("menus.example", "/ab")).toBeUndefined();
+  expect(routes.find("other.example", "/a/")).toBeUndefined();
+});
+
+test("a split is exact over any run of requests", () => {
+  const split = route("/a/", [
+    { service: "menus", weight: 90 },
+    { service: "members", weight: 10 },
+  ]);
+  const routes = table([split]);
+  const dealt = Array.from({ length: 200 }, () => routes.nextService(split));
+  const count = dealt.filter((service) => service === "members").length;
+  expect(Math.abs(count - 20)).toBeLessThanOrEqual(1);
+});
+
+test("a share without weight gets nothing", () => {
+  const split = route("/a/", [
+    { service: "menus", weight: 0 },
+    { service: "members", weight: 5 },
+  ]);
+  const routes = table([split]);
+  const dealt = Array.from({ length: 20 }, () => routes.nextService(split));
+  expect(new Set(dealt)).toEqual(new Set(["members"]));
+});
+
+const sound = () => answered();
+
+function chosen(
+  channels: readonly TestChannel[],
+  excluded: readonly string[] = [],
+): string | undefined {
+  return chooseChannel(channels, {
+    dataCentre: "wa-a",
+    excluded: new Set(excluded),
+  })?.node;
+}
+
+test("the own data centre is preferred while it has room", () => {
+  const far = new TestChannel("far", sound, { dataCentre: "wa-b" });
+  expect(chosen([far, new TestChannel("near", sound, { running: 5 })]))
+    .toBe("near");
+  expect(chosen([
+    far,
+    new TestChannel("near", sound, {
+      running: 10,
+      waiting: 20,
+    }),
+  ])).toBe("far");
+});
+
+test("a worker that takes no calls or is out of reach is left out", () => {
+  const drained = new TestChannel("drained", sound, { slots: 0 });
+  const cut = new TestChannel("cut", sound);
+  cut.isReachable = false;
+  const slow = new TestChannel("slow", sound, { holdMs: 4_000 });
+  expect(chosen([drained, cut, slow])).toBe("slow");
+  expect(chosen([drained, cut, slow], ["slow"])).toBeUndefined();
+});
+
+// Guards against a worker that has joined and never gets a call.
+test("a worker without a report is tried", () => {
+  const fresh = new TestChannel("fresh", sound);
+  fresh.load = undefined;
+  expect(chosen([new TestChannel("known", sound, { running: 6 }), fresh]))
+    .toBe("fresh");
+});
+
+test("a failing worker is avoided", () => {
+  const failing = new TestChannel("failing", sound, { failureShare: 0.9 });
+  const busy = new TestChannel("busy", sound, { running: 9 });
+  expect(chosen([failing, busy])).toBe("busy");
+});
+
+test("repeats are bounded by first attempts and the constant", () => {
+  const allowance = new RetryAllowance({
+    ratio: 0.1,
+    constant: () => 1,
+    windowMs: 10_000,
+  });
+  for (let count = 0; count < 20; count++) allowance.countFirst("a", false);
+  const taken = Array.from({ length: 5 }, () => allowance.take("a"));
+  expect(taken).toEqual([true, true, true, false, false]);
+});
+
+// Guards against chains whose repeats multiply at each service.
+test("calls of a repeated request use up the allowance", () => {
+  const allowance = new RetryAllowance({
+    ratio: 0.1,
+    constant: () => 0,
+    windowMs: 10_000,
+  });
+  for (let count = 0; count < 20; count++) {
+    allowance.countFirst("a", count < 2);
+  }
+  expect(allowance.take("a")).toBe(false);
+});
+
+test("the least important requests are shed first", () => {
+  const shedding = new RootShedding();
+  [0, 1, 2].forEach((priority) => shedding.note(priority));
+  const shares = (pressure: number) =>
+    [0, 1, 2].map((priority) => shedding.share(priority, pressure));
+  expect(shares(0)).toEqual([0, 0, 0]);
+  expect(shares(0.2)[2]).toBeCloseTo(0.6);
+  expect(shares(0.2).slice(0, 2)).toEqual([0, 0]);
+  expect(shares(1)).toEqual([0.75, 0.75, 0.75]);
+});
--- /dev/null
+++ b/packages/sidecar/sidecar_node_test.ts
@@ -0,0 +1,168 @@
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { TestFleet, type TestHost } from "./_test_fleet.ts";
+
+let fleet: TestFleet;
+beforeEach(() => void (fleet = new TestFleet()));
+afterEach(() => fleet.close());
+
+const menus = { shares: [{ service: "menus", weight: 1 }] };
+const members = { shares: [{ service: "members", weight: 1 }] };
+
+async function started(
+  ...services: readonly string[]
+): Promise<readonly TestHost[]> {
+  fleet.configure(1, [menus, members]);
+  const hosts: TestHost[] = [];
+  for (const [index, service] of services.entries()) {
+    hosts.push(await fleet.add(`host-${index}`, service));
+  }
+  await expect.poll(() => hosts.every(({ node }) => node.isReady)).toBe(true);
+  await expect.poll(() => fleet.store.entries.size).toBe(services.length);
+  await Promise.all(
+    hosts.map((host) =>
+      Promise.all(
+        services.map((service) =>
+          expect.poll(async () =>
+            (await fleet.call(host, `/${service}/warm`)).status
+          ).toBe(200)
+        ),
+      )
+    ),
+  );
+  hosts.forEach(({ worker }) => worker.ran.length = 0);
+  return hosts;
+}
+
+test("a request reaches a worker on another host and comes back", async () => {
+  const [caller, server] = await started("menus", "members");
+  const answer = await fleet.call(caller!, "/members/1", {
+    id: "r1",
+    body: "seat 4",
+  });
+  expect(answer).toMatchObject({ status: 200, body: "answer to r1" });
+  expect(server!.worker.ran).toEqual([
+    { requestId: "r1", method: "POST", body: "seat 4" },
+  ]);
+  expect([...server!.worker.callers]).toContain("menus");
+});
+
+test("a request without a route gets 404", async () => {
+  const [host] = await started("menus");
+  expect((await fleet.call(host!, "/nowhere/")).status).toBe(404);
+});
+
+test("a configuration is in force everywhere at once", async () => {
+  const hosts = await started("menus", "members");
+  fleet.configure(2, [menus, members, { ...menus, pathPrefix: "/new/" }]);
+  await Promise.all(
+    hosts.map((host) =>
+      expect.poll(async () => (await fleet.call(host, "/new/1")).status)
+        .toBe(200)
+    ),
+  );
+});
+
+// Guards against a node that stays on an old version while only it is cut off
+// from the store.
+test("a node without the store learns a version from its peers", async () => {
+  const [cut, other] = await started("menus", "members");
+  fleet.store.cutOff.add(cut!.name);
+  await fleet.call(other!, "/menus/1");
+  fleet.configure(2, [menus, members, { ...members, pathPrefix: "/new/" }]);
+  await expect.poll(async () => (await fleet.call(cut!, "/new/1")).status, {
+    timeout: 3_000,
+  }).toBe(200);
+});
+
+// Guards against a fleet that cannot restart while the store is down.
+test("a node that starts without the store serves by its peers", async () => {
+  const [first, second] = await started("menus", "members");
+  await fleet.call(second!, "/menus/1");
+  fleet.store.cutOff.add("all");
+  await first!.node.stop();
+  await fleet.restart(first!);
+  await expect.poll(() => first!.node.isReady, { timeout: 4_000 }).toBe(true);
+  expect((await fleet.call(first!, "/members/1")).status).toBe(200);
+  await expect.poll(async () => (await fleet.call(second!, "/menus/2")).status)
+    .toBe(200);
+});
+
+// Guards against work that reaches a draining worker through another node.
+test("a draining worker gets nothing from any host", async () => {
+  const [first, second] = await started("members", "menus");
+  await fleet.add("host-2", "members");
+  fleet.state(first!, "draining");
+  const answers = await Promise.all(
+    Array.from({ length: 12 }, () => fleet.call(second!, "/members/1")),
+  );
+  expect(first!.worker.ran).toEqual([]);
+  const served = answers.filter(({ status }) => status === 200);
+  expect(served.length).toBeGreaterThan(6);
+});
+
+test("without a worker a refusal says when to come back", async () => {
+  const [first] = await started("members");
+  fleet.state(first!, "draining");
+  const answer = await fleet.call(first!, "/members/1");
+  expect(answer.status).toBe(503);
+  expect(Number(answer.retryAfter)).toBeGreaterThan(0);
+});
+
+// Guards against a planned stop that cuts requests off.
+test("a stop lets requests in flight end with their answers", async () => {
+  const [caller, server] = await started("menus", "members");
+  server!.worker.holdMs = 400;
+  const inFlight = fleet.call(caller!, "/members/1", { id: "slow" });
+  await expect.poll(() => server!.worker.ran.length).toBe(1);
+  await Promise.all([server!.node.stop(), caller!.node.stop()]);
+  expect(await inFlight).toMatchObject({
+    status: 200,
+    body: "answer to slow",
+  });
+});
+
+// Guards against an address that now belongs to a worker of another service.
+test("a node refuses calls for a service that it does not serve", async () => {
+  const [caller, server] = await started("menus", "members");
+  await server!.node.stop();
+  const imposter = { ...server!, service: "menus" };
+  await fleet.restart(imposter);
+  server!.node = imposter.node;
+  fleet.state(imposter);
+  const answer = await fleet.call(caller!, "/members/1");
+  expect(answer.status).toBe(503);
+  expect(server!.worker.ran).toEqual([]);
+});
+
+test("an answer is due at the time limit of the route", async () => {
+  const [caller, server] = await started("menus", "members");
+  fleet.configure(2, [menus, { ...members, timeoutMs: 200 }]);
+  server!.worker.holdMs = 1_000;
+  await expect.poll(async () => {
+    const startedAt = performance.now();
+    const { status } = await fleet.call(caller!, "/members/1");
+    return status === 504 && performance.now() - startedAt < 400;
+  }, { timeout: 5_000 }).toBe(true);
+});
+
+test("a record of the store that is lost comes back", async () => {
+  const [host] = await started("menus");
+  const { store } = fleet;
+  const { revision } = store.entries.get(host!.name)!;
+  store.entries.set(host!.name, {
+    record: undefined,
+    revision: store.revision + 1,
+  });
+  store.changed();
+  await expect.poll(() => store.entries.get(host!.name)?.record?.service)
+    .toBe("menus");
+  expect(store.entries.get(host!.name)!.revision).toBeGreaterThan(revision);
+});
+
+test("the store is written on change only", async () => {
+  const [host] = await started("menus");
+  const { writes } = fleet.store;
+  for (let count = 0; count < 20; count++) fleet.state(host!);
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  expect(fleet.store.writes).toBe(writes);
+});
