Choose workers by time and bytes, report overload by route, and stop in two steps

Change: the cost of a worker is its hold time, its usage, the measured round trip and the bytes that cross data centres. Pressure is reported by route, from the calls that the worker makes. The pause for a shed request grows with the pressure. A stopping node refuses calls for its worker only after its callers have left. A lost link is opened again when its peer shows itself.

--- a/packages/calling/_test_channel.ts
+++ b/packages/calling/_test_channel.ts
@@ -14,6 +14,7 @@
   holdMs: 40,
   failureShare: 0,
   pressure: 0,
+  routePressures: [],
 };
 
 /** Channel whose outcomes a test decides. */
@@ -22,6 +23,7 @@
   readonly dataCentre: string;
   load: LoadReport | undefined;
   unfinished = 0;
+  readonly roundTripMs: number;
   isReachable = true;
   readonly calls: WorkerCall[] = [];
   readonly cancelled: string[] = [];
@@ -30,10 +32,14 @@
   constructor(
     node: string,
     respond: (call: WorkerCall) => WorkerResult | undefined,
-    load: Partial<LoadReport> & { readonly dataCentre?: string } = {},
+    load: Partial<LoadReport> & {
+      readonly dataCentre?: string;
+      readonly roundTripMs?: number;
+    } = {},
   ) {
     super();
-    const { dataCentre = "wa-a", ...report } = load;
+    const { dataCentre = "wa-a", roundTripMs = 1, ...report } = load;
+    this.roundTripMs = roundTripMs;
     this.node = node;
     this.dataCentre = dataCentre;
     this.load = { ...IDLE, ...report };
--- a/packages/calling/call_task.ts
+++ b/packages/calling/call_task.ts
@@ -21,6 +21,8 @@
 /** One request of a caller, read whole. */
 export interface CallerRequest {
   readonly requestId: string;
+  /** Name of the request's route. */
+  readonly route: string;
   readonly method: string;
   readonly target: string;
   readonly headers: HeaderLines;
@@ -71,6 +73,8 @@
   /** Ways to the workers of a service at present. */
   readonly channels: (service: string) => readonly WorkerChannel[];
   readonly allowance: RetryAllowance;
+  /** Usual size of an answer of a service. */
+  readonly answerBytes?: (service: string) => number;
   /** Receives the final outcome once. */
   readonly finish: (result: TaskResult) => void;
   /** Counts a repeat by its reason. */
@@ -126,6 +130,8 @@
     const channel = chooseChannel(this.#options.channels(service), {
       dataCentre: this.#options.dataCentre,
       excluded: this.#tried,
+      bytes: this.#request.body.length +
+        (this.#options.answerBytes?.(service) ?? 0),
     });
     if (channel === undefined) return this.#refuse(lastError, retryAfterMs);
     this.#tried.add(channel.node);
@@ -133,6 +139,7 @@
     const { isIdempotent, latencyTargetMs, rank } = this.#request;
     this.#ticket = channel.run({
       requestId,
+      route: this.#request.route,
       method,
       target,
       headers,
--- a/packages/calling/call_task_test.ts
+++ b/packages/calling/call_task_test.ts
@@ -18,6 +18,7 @@
   const result = new Promise<TaskResult>((resolve) => finish = resolve);
   const task = new CallTask({
     requestId: "r1",
+    route: "menu-read",
     method: "GET",
     target: "/menus/1",
     headers: [],
--- a/packages/calling/caller_edge.ts
+++ b/packages/calling/caller_edge.ts
@@ -37,8 +37,14 @@
 /** Longest body that is copied to be written with the header lines. */
 const MAX_JOINED_BYTES = 16_384;
 
-/** Least pause that the caller of a shed request is told, in milliseconds. */
-const SHED_RETRY_AFTER_MS = 500;
+/** Weight of a new answer in the mean size of a service's answers. */
+const ANSWER_SIZE_WEIGHT = 0.05;
+
+/** Pause that the caller of a shed request is told, in milliseconds. */
+const SHED_RETRY_AFTER_MS = 300;
+
+/** Further pause for each unit of pressure: the time in which it goes back. */
+const SHED_RETRY_AFTER_MS_PER_PRESSURE = 6_000;
 
 /** Limits before the first configuration is known. */
 const INITIAL_LIMITS: CallerLimits = {
@@ -57,10 +63,10 @@
   readonly configuration: ConfigurationHolder;
   readonly allowance: RetryAllowance;
   readonly channels: (service: string) => readonly WorkerChannel[];
-  /** Overload of a service and of those that it calls, 0 to 1. */
-  readonly pressureOf: (service: string) => number;
-  /** Called with the service of each call of the worker on this host. */
-  readonly onNestedCall: (service: string) => void;
+  /** Overload of a service, and of those that calls of a route reach. */
+  readonly pressureOf: (service: string, route: string) => number;
+  /** Called for each call of the worker on this host. */
+  readonly onNestedCall: (call: NestedCall) => void;
   /** Bytes of request bodies that may be held at the same time. */
   readonly maxHeldBytes: number;
   /** Request at the worker on this host that a call belongs to. */
@@ -71,6 +77,14 @@
   readonly onRetry?: (reason: ErrorKind, request: CallerRequest) => void;
 }
 
+/** Call that the worker makes while it runs a request. */
+export interface NestedCall {
+  /** Route of the request that the worker runs. */
+  readonly parentRoute: string;
+  readonly route: string;
+  readonly service: string;
+}
+
 /** A request that got no answer of a worker. */
 export interface EdgeRefusal {
   readonly requestId: string;
@@ -88,6 +102,8 @@
   readonly #shedding = new RootShedding();
   #routes: RouteTable | undefined;
   #limits = INITIAL_LIMITS;
+  /** Mean size of the answers of each service, in bytes. */
+  readonly #answerBytes = new Map<string, number>();
   #heldBytes = 0;
   #unfinished = 0;
   #lastRequestAt = 0;
@@ -110,7 +126,7 @@
     return this.#unfinished;
   }
 
-  /** Time since the last request arrived, in milliseconds. */
+  /** Time since the last request that begins a chain, in milliseconds. */
   get quietMs(): number {
     return performance.now() - this.#lastRequestAt;
   }
@@ -149,7 +165,6 @@
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAt = performance.now();
-    this.#lastRequestAt = arrivedAt;
     this.#unfinished++;
     response.sendDate = false;
     response.once("close", () => this.#unfinished--);
@@ -213,16 +228,26 @@
     const { route, service, requestId, lines, chunks } = parts;
     const { names } = this.#options;
     const parent = this.#options.parentOf(requestId);
-    if (parent !== undefined) this.#options.onNestedCall(service);
-    else if (this.#isShed(route, service)) {
-      return this.#refuse(exchange, "downstream_pressure", {
-        requestId,
+    if (parent !== undefined) {
+      this.#options.onNestedCall({
+        parentRoute: parent.route,
+        route: route.name,
         service,
-        retryAfterMs: SHED_RETRY_AFTER_MS * (1 + Math.random()),
       });
+    } else {
+      this.#lastRequestAt = arrivedAt;
+      const pressure = this.#options.pressureOf(service, route.name);
+      if (this.#isShed(route, pressure)) {
+        return this.#refuse(exchange, "downstream_pressure", {
+          requestId,
+          service,
+          retryAfterMs: retryAfterMs(pressure),
+        });
+      }
     }
     const callerRequest: CallerRequest = {
       requestId,
+      route: route.name,
       method: request.method ?? "GET",
       target: request.url ?? "/",
       headers: this.#linesForWorker(lines),
@@ -242,6 +267,7 @@
       dataCentre: this.#options.dataCentre,
       channels: this.#options.channels,
       allowance: this.#options.allowance,
+      answerBytes: (service) => this.#answerBytes.get(service) ?? 0,
       finish: (result) => this.#answer(exchange, callerRequest, result),
       ...(this.#options.onRetry && { onRetry: this.#options.onRetry }),
     });
@@ -249,9 +275,8 @@
     task.start();
   }
 
-  #isShed({ priority }: Route, service: string): boolean {
+  #isShed({ priority }: Route, pressure: number): boolean {
     this.#shedding.note(priority);
-    const pressure = this.#options.pressureOf(service);
     return Math.random() < this.#shedding.share(priority, pressure);
   }
 
@@ -278,6 +303,7 @@
   ): void {
     if (result.kind === "answer") {
       const { response } = exchange;
+      this.#noteAnswer(request.service, result.body.length);
       if (response.destroyed) return;
       response.writeHead(result.status, [
         ...result.headers,
@@ -299,6 +325,12 @@
     });
   }
 
+  #noteAnswer(service: string, bytes: number): void {
+    const mean = this.#answerBytes.get(service) ?? bytes;
+    const next = mean + ANSWER_SIZE_WEIGHT * (bytes - mean);
+    this.#answerBytes.set(service, next);
+  }
+
   #refuse(
     { response, arrivedAt }: Exchange,
     error: ErrorKind,
@@ -358,6 +390,12 @@
   readonly retryAfterMs?: number;
 }
 
+function retryAfterMs(pressure: number): number {
+  const pauseMs = SHED_RETRY_AFTER_MS +
+    pressure * SHED_RETRY_AFTER_MS_PER_PRESSURE;
+  return pauseMs * (1 + Math.random() / 2);
+}
+
 function timeLimitMs(route: Route, stated: string | undefined): number {
   const callers = Number(stated);
   const patience = Number.isFinite(callers) && callers > 0
--- a/packages/calling/peer_channel.ts
+++ b/packages/calling/peer_channel.ts
@@ -18,7 +18,10 @@
 
 /** First and longest pause before a link is opened again, in milliseconds. */
 const FIRST_RETRY_MS = 100;
-const LONGEST_RETRY_MS = 1_000;
+const LONGEST_RETRY_MS = 500;
+
+/** Round trip that is assumed before the first link is open. */
+const UNKNOWN_ROUND_TRIP_MS = 2;
 
 /** Options of {@linkcode PeerChannel}. */
 export interface PeerChannelOptions {
@@ -59,6 +62,7 @@
   #link: Link | undefined;
   #load: LoadReport | undefined;
   #nextId = 1;
+  #roundTripMs = UNKNOWN_ROUND_TRIP_MS;
   #failures = 0;
   #retryAt = 0;
   #isClosed = false;
@@ -75,6 +79,10 @@
     return this.#load;
   }
 
+  get roundTripMs(): number {
+    return this.#roundTripMs;
+  }
+
   get unfinished(): number {
     return this.#pending.size;
   }
@@ -104,6 +112,7 @@
           id,
           service,
           requestId: call.requestId,
+          route: call.route,
           method: call.method,
           target: call.target,
           headers: call.headers,
@@ -137,7 +146,9 @@
       () => socket.destroy(new Error("The peer does not answer")),
       CONNECT_TIMEOUT_MS,
     );
+    const startedAt = performance.now();
     socket.once("connect", () => {
+      this.#roundTripMs = performance.now() - startedAt;
       clearTimeout(timer);
       socket.off("error", refuse);
       this.#adopt(socket);
@@ -149,6 +160,13 @@
     socket.once("error", refuse);
   }
 
+  /** Opens a lost link at once, since the peer has shown that it runs. */
+  reopen(): void {
+    if (this.#failures === 0) return;
+    this.#retryAt = 0;
+    this.open();
+  }
+
   /** Sends a frame if the link is open. */
   send(frame: Frame): void {
     this.#link?.send(frame);
--- a/packages/calling/routing_test.ts
+++ b/packages/calling/routing_test.ts
@@ -77,11 +77,15 @@
   return chooseChannel(channels, {
     dataCentre: "wa-a",
     excluded: new Set(excluded),
+    bytes: 1_024,
   })?.node;
 }
 
 test("the own data centre is preferred while it has room", () => {
-  const far = new TestChannel("far", sound, { dataCentre: "wa-b" });
+  const far = new TestChannel("far", sound, {
+    dataCentre: "wa-b",
+    roundTripMs: 8,
+  });
   expect(chosen([far, new TestChannel("near", sound, { running: 5 })]))
     .toBe("near");
   expect(chosen([
@@ -102,6 +106,30 @@
   expect(chosen([drained, cut, slow], ["slow"])).toBeUndefined();
 });
 
+// Guards against chains that pay for a slow near worker at each call.
+test("a much faster worker in another data centre is preferred", () => {
+  const fast = new TestChannel("fast", sound, {
+    dataCentre: "wa-b",
+    roundTripMs: 8,
+    holdMs: 15,
+  });
+  expect(chosen([fast, new TestChannel("near", sound, { holdMs: 45 })]))
+    .toBe("fast");
+  expect(chosen([fast, new TestChannel("near", sound, { holdMs: 22 })]))
+    .toBe("near");
+});
+
+test("large bodies stay in the own data centre", () => {
+  const far = new TestChannel("far", sound, { dataCentre: "wa-b", holdMs: 40 });
+  const near = new TestChannel("near", sound, { running: 10, waiting: 1 });
+  const node = chooseChannel([far, near], {
+    dataCentre: "wa-a",
+    excluded: new Set(),
+    bytes: 60_000,
+  })?.node;
+  expect(node).toBe("near");
+});
+
 // Guards against a worker that has joined and never gets a call.
 test("a worker without a report is tried", () => {
   const fresh = new TestChannel("fresh", sound);
--- a/packages/calling/worker_channel.ts
+++ b/packages/calling/worker_channel.ts
@@ -10,6 +10,8 @@
   /** Name of the node beside the worker. */
   abstract readonly node: string;
   abstract readonly dataCentre: string;
+  /** Time for a message to the worker's node and back, in milliseconds. */
+  abstract readonly roundTripMs: number;
   /** Last known load; undefined before the first report. */
   abstract readonly load: LoadReport | undefined;
   /** Calls of this node that have no outcome yet. */
--- a/packages/calling/worker_choice.ts
+++ b/packages/calling/worker_choice.ts
@@ -1,10 +1,14 @@
 import type { WorkerChannel } from "./worker_channel.ts";
 
 /**
- * Wait that is accepted in the own data centre before a call goes to another
- * one, in milliseconds; it stands for the price of bytes between data centres.
+ * Expected time that a call may lose in the own data centre before it goes to
+ * another one, for the price of bytes between data centres.
  */
-const OWN_DATA_CENTRE_BONUS_MS = 30;
+const CROSSING_MS = 4;
+const CROSSING_MS_PER_KILOBYTE = 2;
+
+/** Makes the cost of a worker rise steeply when it is nearly full. */
+const USAGE_EXPONENT = 6;
 
 /** Hold time that is assumed while no worker of a service has reported any. */
 const UNKNOWN_HOLD_MS = 50;
@@ -18,6 +22,8 @@
   readonly dataCentre: string;
   /** Nodes that have already refused or failed the call. */
   readonly excluded: ReadonlySet<string>;
+  /** Expected size of the request and its answer. */
+  readonly bytes: number;
 }
 
 /**
@@ -37,7 +43,9 @@
   for (const channel of channels) {
     if (options.excluded.has(channel.node) || !channel.isReachable) continue;
     const cost = expectedCostMs(channel, {
-      dataCentre: options.dataCentre,
+      crossingMs: channel.dataCentre === options.dataCentre
+        ? 0
+        : CROSSING_MS + CROSSING_MS_PER_KILOBYTE * options.bytes / 1024,
       usualHoldMs,
     });
     // Nodes with equal figures must not all choose the same worker.
@@ -60,26 +68,21 @@
 }
 
 interface CostOptions {
-  readonly dataCentre: string;
+  readonly crossingMs: number;
   readonly usualHoldMs: number;
 }
 
 function expectedCostMs(
-  channel: WorkerChannel,
-  { dataCentre, usualHoldMs }: CostOptions,
+  { load, roundTripMs, unfinished }: WorkerChannel,
+  { crossingMs, usualHoldMs }: CostOptions,
 ): number {
-  const distance = channel.dataCentre === dataCentre
-    ? 0
-    : OWN_DATA_CENTRE_BONUS_MS;
-  const { load } = channel;
-  if (load === undefined) {
-    // A worker that has not been tried yet is taken for an idle one.
-    return usualHoldMs * (1 + channel.unfinished) / 2 + distance;
-  }
+  const distanceMs = roundTripMs + crossingMs;
+  // A worker that has not been tried yet is taken for an idle one.
+  if (load === undefined) return usualHoldMs * (1 + unfinished) + distanceMs;
   if (load.slots === 0) return Infinity;
-  const busy = Math.max(load.running + load.waiting, channel.unfinished) + 1;
+  const busy = Math.max(load.running + load.waiting, unfinished) + 1;
   const usage = busy / load.slots;
-  const wait = Math.max(0, usage - 1) * load.holdMs;
+  const waits = usage < 1 ? usage ** USAGE_EXPONENT : usage;
   const success = 1 - Math.min(load.failureShare, GREATEST_FAILURE_SHARE);
-  return (load.holdMs * (1 + usage * usage) / 2 + wait) / success + distance;
+  return load.holdMs * (1 + waits) / success + distanceMs;
 }
--- a/packages/hop/frame.ts
+++ b/packages/hop/frame.ts
@@ -15,10 +15,18 @@
   readonly holdMs: number;
   /** Share of recent calls that the worker failed by itself, 0 to 1. */
   readonly failureShare: number;
-  /** Overload of the worker's service and of the services it calls, 0 to 1. */
+  /** Overload of the worker, 0 to 1. */
   readonly pressure: number;
+  /**
+   * Routes to the worker whose calls reach a service with more overload than
+   * the worker, with that overload.
+   */
+  readonly routePressures: readonly RoutePressure[];
 }
 
+/** Overload of the services that requests of a route reach, 0 to 1. */
+export type RoutePressure = readonly [route: string, pressure: number];
+
 /** First frame of each side of a link. */
 export interface HelloFrame {
   readonly kind: "hello";
@@ -35,6 +43,8 @@
   readonly id: number;
   readonly service: string;
   readonly requestId: string;
+  /** Name of the request's route. */
+  readonly route: string;
   readonly method: string;
   readonly target: string;
   readonly headers: HeaderLines;
--- a/packages/hop/frame_codec.ts
+++ b/packages/hop/frame_codec.ts
@@ -28,6 +28,7 @@
     "id",
     "service",
     "requestId",
+    "route",
     "method",
     "target",
     "headers",
@@ -63,6 +64,7 @@
   "holdMs",
   "failureShare",
   "pressure",
+  "routePressures",
 ] as const;
 
 const EMPTY = Buffer.alloc(0);
--- a/packages/hop/frame_codec_test.ts
+++ b/packages/hop/frame_codec_test.ts
@@ -9,6 +9,7 @@
   holdMs: 42,
   failureShare: 0.25,
   pressure: 0.5,
+  routePressures: [["menu-read", 0.75]],
 };
 
 const call: Frame = {
@@ -16,6 +17,7 @@
   id: 7,
   service: "menus",
   requestId: "a1",
+  route: "menu-read",
   method: "POST",
   target: "/menus/1?day=2",
   headers: ["Host", "menus.example", "X-Note", "grüße"],
--- a/packages/serving/_test_worker.ts
+++ b/packages/serving/_test_worker.ts
@@ -70,6 +70,7 @@
   const requestId = change.requestId ?? "r1";
   return {
     requestId,
+    route: "menu-read",
     method: "GET",
     target: "/menus/1",
     headers: ["host", "menus.example", "x-request", requestId],
--- a/packages/serving/overload_meter.ts
+++ b/packages/serving/overload_meter.ts
@@ -5,7 +5,11 @@
 const RISE_WHEN_QUEUED = 0.03;
 
 /** Part of the pressure that remains after an interval without overload. */
-const REMAINDER = 0.92;
+const REMAINDER_WHEN_BUSY = 0.92;
+const REMAINDER_WHEN_FREE = 0.75;
+
+/** Used share of the slots below which the worker counts as free. */
+const FREE_BELOW = 0.7;
 
 /** Pressure below which there is none. */
 const NO_PRESSURE = 0.01;
@@ -16,6 +20,8 @@
   readonly arrived: number;
   /** Calls that were refused for want of a slot. */
   readonly refused: number;
+  /** Calls at the worker now. */
+  readonly running: number;
   /** Calls that wait now. */
   readonly waiting: number;
   /** Calls that the worker may run at the same time. */
@@ -36,11 +42,13 @@
   }
 
   /** Takes the counts of one interval. */
-  update({ arrived, refused, waiting, slots }: GateInterval): void {
+  update({ arrived, refused, running, waiting, slots }: GateInterval): void {
     if (refused > 0) {
       this.#pressure += RISE_WHEN_ALL_REFUSED * refused / Math.max(1, arrived);
     } else if (waiting > slots / 2) this.#pressure += RISE_WHEN_QUEUED;
-    else this.#pressure *= REMAINDER;
+    else if (running < slots * FREE_BELOW) {
+      this.#pressure *= REMAINDER_WHEN_FREE;
+    } else this.#pressure *= REMAINDER_WHEN_BUSY;
     if (this.#pressure > 1) this.#pressure = 1;
     if (this.#pressure < NO_PRESSURE) this.#pressure = 0;
   }
--- a/packages/serving/worker_call.ts
+++ b/packages/serving/worker_call.ts
@@ -4,6 +4,8 @@
 /** One call for the own worker. */
 export interface WorkerCall {
   readonly requestId: string;
+  /** Name of the request's route. */
+  readonly route: string;
   readonly method: string;
   readonly target: string;
   readonly headers: HeaderLines;
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -108,7 +108,7 @@
   }
 
   /** Present load, without the pressure of other services. */
-  get load(): Omit<LoadReport, "pressure"> {
+  get load(): Omit<LoadReport, "pressure" | "routePressures"> {
     return {
       running: this.#running,
       waiting: this.#queue.length,
@@ -150,6 +150,7 @@
     const interval = {
       arrived: this.#arrived,
       refused: this.#refused,
+      running: this.#running,
       waiting: this.#queue.length,
       slots: this.#options.tracker.state.slots,
     };
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -13,7 +13,13 @@
   WorkerDirectory,
   type WorkerRecord,
 } from "@oleanderdeck/directory";
-import type { Frame, HelloFrame, Link, LoadReport } from "@oleanderdeck/hop";
+import type {
+  Frame,
+  HelloFrame,
+  Link,
+  LoadReport,
+  RoutePressure,
+} from "@oleanderdeck/hop";
 import type { EventLog } from "@oleanderdeck/observability";
 import {
   type HeaderNames,
@@ -23,6 +29,7 @@
   type WorkerStatement,
   WorkerTracker,
 } from "@oleanderdeck/serving";
+import { CallGraph } from "./call_graph.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
 import { StoreFollower } from "./store_follower.ts";
@@ -42,11 +49,14 @@
  */
 const OWN_RETRY_SHARE = 0.7;
 
-/** Time without requests after which a stopping node ends, in milliseconds. */
-const QUIET_MS = 1_200;
+/** Time without requests that shows that callers have left, in milliseconds. */
+const QUIET_MS = 600;
 
 /** Time within which callers have noticed a stop, in milliseconds. */
-const LEAVE_MS = 3_000;
+const LEAVE_MS = 2_200;
+
+/** Time between two looks at the work in progress of a stop. */
+const STOP_CHECK_MS = 25;
 
 /** Part of the time for a stop that is kept for closing, in milliseconds. */
 const STOP_MARGIN_MS = 1_000;
@@ -59,9 +69,6 @@
   readonly log: EventLog;
 }
 
-/** Time for which a service counts as called by the own worker. */
-const CALLED_SERVICE_MS = 5_000;
-
 /** What one node passes on to another that cannot reach the store. */
 interface Knowledge {
   readonly configuration: Configuration | undefined;
@@ -86,8 +93,9 @@
   readonly #local: LocalChannel;
   readonly #channels = new Map<string, PeerChannel>();
   readonly #meter = new OverloadMeter();
-  readonly #calledServices = new Map<string, number>();
+  readonly #graph = new CallGraph();
   #pressure = 0;
+  #routePressures: readonly RoutePressure[] = [];
   #tick: NodeJS.Timeout | undefined;
   #isStopping = false;
   #isWorkerUnreachable = false;
@@ -131,9 +139,8 @@
         windowMs: settings.retries.windowMs,
       }),
       channels: (service) => this.#channelsOf(service),
-      pressureOf: (service) => this.#pressureOf(service),
-      onNestedCall: (service) =>
-        this.#calledServices.set(service, performance.now()),
+      pressureOf: (service, route) => this.#pressureOf(service, route),
+      onNestedCall: (call) => this.#graph.note(call),
       maxHeldBytes: settings.memoryMb * 1024 * 1024 * HELD_BODIES_SHARE,
       parentOf: (requestId) => this.#gate.parentOf(requestId),
       mayBeOutdated: () => this.#store.silentMs > 30_000,
@@ -214,16 +221,17 @@
     const { graceMs, node } = this.#options.settings;
     this.#options.log.write("info", "node_stopping", { node });
     this.#edge.startClosing();
-    const isWorkerGone = !this.#tracker.state.isReady;
-    this.#gate.close();
-    this.#peers.tellLoad();
-    if (isWorkerGone) this.#store.withdraw();
+    if (!this.#tracker.state.isReady) this.#store.withdraw();
     const startedAt = performance.now();
     const elapsed = () => performance.now() - startedAt;
-    while (
-      elapsed() < graceMs - STOP_MARGIN_MS && !this.#isIdle(elapsed())
-    ) {
-      await new Promise((resolve) => setTimeout(resolve, 50));
+    // The worker stays in use until the callers on this host have left.
+    while (this.#edge.quietMs < QUIET_MS && elapsed() < LEAVE_MS) {
+      await pause(STOP_CHECK_MS);
+    }
+    this.#gate.close();
+    this.#peers.tellLoad();
+    while (elapsed() < graceMs - STOP_MARGIN_MS && !this.#isIdle()) {
+      await pause(STOP_CHECK_MS);
     }
     clearInterval(this.#tick);
     this.#store.close();
@@ -234,32 +242,32 @@
     this.#options.log.write("info", "node_stopped", { node });
   }
 
-  #isIdle(elapsedMs: number): boolean {
-    return this.#edge.unfinished === 0 && this.#gate.unfinished === 0 &&
-      (this.#edge.quietMs > QUIET_MS || elapsedMs > LEAVE_MS);
+  #isIdle(): boolean {
+    return this.#edge.unfinished === 0 && this.#gate.unfinished === 0;
   }
 
   #load(): LoadReport {
-    return { ...this.#gate.load, pressure: this.#pressure };
+    return {
+      ...this.#gate.load,
+      pressure: this.#pressure,
+      routePressures: this.#routePressures,
+    };
   }
 
-  // Overload of the own worker and of the services that it calls.
   #updatePressure(): void {
     this.#meter.update(this.#gate.takeInterval());
-    const since = performance.now() - CALLED_SERVICE_MS;
-    const { service: ownService } = this.#options.settings;
-    const called = [...this.#calledServices]
-      .filter(([name, calledAt]) => calledAt > since && name !== ownService)
-      .map(([name]) => this.#pressureOf(name));
-    const pressure = Math.max(this.#meter.pressure, ...called);
-    this.#pressure = Math.round(pressure * 100) / 100;
+    this.#pressure = Math.round(this.#meter.pressure * 100) / 100;
+    this.#routePressures = this.#graph.pressures(
+      (service, route) => this.#pressureOf(service, route),
+      this.#pressure,
+    );
   }
 
   // Mean over the workers, since calls are spread over all of them.
-  #pressureOf(service: string): number {
-    const reported = this.#channelsOf(service).flatMap((channel) => {
-      return channel.load === undefined ? [] : [channel.load.pressure];
-    });
+  #pressureOf(service: string, route: string): number {
+    const reported = this.#channelsOf(service).flatMap(({ load }) =>
+      load === undefined ? [] : [pressureFor(load, route)]
+    );
     return reported.length === 0
       ? 0
       : reported.reduce((sum, value) => sum + value, 0) / reported.length;
@@ -279,6 +287,8 @@
   #receive(frame: Frame, peer: Link | PeerChannel): void {
     switch (frame.kind) {
       case "hello":
+        this.#channels.get(frame.node)?.reopen();
+        return this.#compareVersion(frame.configurationVersion, peer);
       case "version":
         return this.#compareVersion(frame.configurationVersion, peer);
       case "knowledge_request":
@@ -385,3 +395,12 @@
     });
   }
 }
+
+function pressureFor(load: LoadReport, route: string): number {
+  const found = load.routePressures.find(([name]) => name === route);
+  return found === undefined ? load.pressure : found[1];
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
