--- a/packages/calling/caller_edge.ts
+++ b/packages/calling/caller_edge.ts
@@ -40,12 +40,12 @@
 /** Weight of a new answer in the mean size of a service's answers. */
 const ANSWER_SIZE_WEIGHT = 0.05;
 
-/** Pause that the caller of a shed request is told, in milliseconds. */
+/**
+ * Least pause that the caller of a shed request is told, in milliseconds: about
+ * the time in which the pressure follows a change of the load.
+ */
 const SHED_RETRY_AFTER_MS = 300;
 
-/** Further pause for each unit of pressure: the time in which it goes back. */
-const SHED_RETRY_AFTER_MS_PER_PRESSURE = 6_000;
-
 /** Limits before the first configuration is known. */
 const INITIAL_LIMITS: CallerLimits = {
   maxHeaderBytes: 65_536,
@@ -241,7 +241,7 @@
         return this.#refuse(exchange, "downstream_pressure", {
           requestId,
           service,
-          retryAfterMs: retryAfterMs(pressure),
+          retryAfterMs: SHED_RETRY_AFTER_MS * (1 + Math.random()),
         });
       }
     }
@@ -390,12 +390,6 @@
   readonly retryAfterMs?: number;
 }
 
-function retryAfterMs(pressure: number): number {
-  const pauseMs = SHED_RETRY_AFTER_MS +
-    pressure * SHED_RETRY_AFTER_MS_PER_PRESSURE;
-  return pauseMs * (1 + Math.random() / 2);
-}
-
 function timeLimitMs(route: Route, stated: string | undefined): number {
   const callers = Number(stated);
   const patience = Number.isFinite(callers) && callers > 0
--- a/packages/serving/overload_meter.ts
+++ b/packages/serving/overload_meter.ts
@@ -1,11 +1,11 @@
 /** Rise of the pressure when all calls of an interval were refused. */
-const RISE_WHEN_ALL_REFUSED = 0.3;
+const RISE_WHEN_ALL_REFUSED = 0.15;
 
 /** Rise while the queue is longer than half of the slots. */
-const RISE_WHEN_QUEUED = 0.03;
+const RISE_WHEN_QUEUED = 0.02;
 
 /** Part of the pressure that remains after an interval without overload. */
-const REMAINDER_WHEN_BUSY = 0.92;
+const REMAINDER_WHEN_BUSY = 0.95;
 const REMAINDER_WHEN_FREE = 0.75;
 
 /** Used share of the slots below which the worker counts as free. */
@@ -43,12 +43,16 @@
 
   /** Takes the counts of one interval. */
   update({ arrived, refused, running, waiting, slots }: GateInterval): void {
-    if (refused > 0) {
-      this.#pressure += RISE_WHEN_ALL_REFUSED * refused / Math.max(1, arrived);
-    } else if (waiting > slots / 2) this.#pressure += RISE_WHEN_QUEUED;
-    else if (running < slots * FREE_BELOW) {
-      this.#pressure *= REMAINDER_WHEN_FREE;
-    } else this.#pressure *= REMAINDER_WHEN_BUSY;
+    const isQueued = waiting > slots / 2;
+    if (isQueued || refused > 0) {
+      const share = Math.min(1, refused / Math.max(1, arrived));
+      this.#pressure += RISE_WHEN_ALL_REFUSED * share +
+        (isQueued ? RISE_WHEN_QUEUED : 0);
+    } else {
+      this.#pressure *= running < slots * FREE_BELOW
+        ? REMAINDER_WHEN_FREE
+        : REMAINDER_WHEN_BUSY;
+    }
     if (this.#pressure > 1) this.#pressure = 1;
     if (this.#pressure < NO_PRESSURE) this.#pressure = 0;
   }
--- a/packages/sidecar/store_follower.ts
+++ b/packages/sidecar/store_follower.ts
@@ -10,6 +10,9 @@
 /** Longest time that one watch waits, in milliseconds. */
 const WATCH_WAIT_MS = 10_000;
 
+/** Time for which changes of records are collected, in milliseconds. */
+const GROUP_CHANGES_MS = 500;
+
 /** First and longest pause after a failed call, in milliseconds. */
 const FIRST_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 500;
@@ -120,6 +123,8 @@
                 : directory.put({ record, revision })
             );
             revision = changes.revision;
+            // Changes come in groups, and each answer is a call for each node.
+            if (changes.changes.length > 0) await pause(GROUP_CHANGES_MS);
           }
         }
         failures = 0;
