Leave out nodes at whose address another one answers

Cause: after replace_with_reuse beside the workers, the address of a gone members host belonged to a host of another service.

Change: a link whose peer is not the expected node ends and is tried again after 5 s; the node that has the address now removes the stale record; only full workers count towards the greatest number of refusals.

--- a/packages/calling/call_task.ts
+++ b/packages/calling/call_task.ts
@@ -9,7 +9,7 @@
 import type { WorkerChannel } from "./worker_channel.ts";
 import { chooseChannel } from "./worker_choice.ts";
 
-/** Workers that may refuse a call, unsent, before the caller is told. */
+/** Full workers that may refuse a call, unsent, before the caller is told. */
 const MAX_REFUSALS = 3;
 
 /** Time left below which a call is not sent again, in milliseconds. */
@@ -178,7 +178,7 @@
     if (wasSent) {
       this.#attempts++;
       if (!this.#takeRetry(error)) return this.#refuse(error, retryAfterMs);
-    } else if (++this.#refusals >= MAX_REFUSALS) {
+    } else if (error === "queue_full" && ++this.#refusals >= MAX_REFUSALS) {
       return this.#refuse(error, retryAfterMs);
     }
     this.#send(error, retryAfterMs);
--- a/packages/calling/peer_channel.ts
+++ b/packages/calling/peer_channel.ts
@@ -20,6 +20,9 @@
 const FIRST_RETRY_MS = 100;
 const LONGEST_RETRY_MS = 500;
 
+/** Pause after another node has answered at the address, in milliseconds. */
+const MISPLACED_RETRY_MS = 5_000;
+
 /** Round trip that is assumed before the first link is open. */
 const UNKNOWN_ROUND_TRIP_MS = 2;
 
@@ -27,6 +30,8 @@
 export interface PeerChannelOptions {
   readonly node: string;
   readonly dataCentre: string;
+  /** Service of the worker beside the peer. */
+  readonly service: string;
   /** Address of the peer's links as host:port. */
   readonly address: string;
   /** First frame for the peer. */
@@ -91,9 +96,12 @@
     return this.#link !== undefined || this.#failures === 0;
   }
 
-  /** Address of the peer's links. */
-  get address(): string {
-    return this.#options.address;
+  /** Whether a record of the peer has the address and service of the channel. */
+  matches(
+    record: Pick<PeerChannelOptions, "address" | "service"> | undefined,
+  ): boolean {
+    return record?.address === this.#options.address &&
+      record.service === this.#options.service;
   }
 
   run(
@@ -186,12 +194,12 @@
   }
 
   #adopt(socket: Socket): void {
-    this.#failures = 0;
     const link = new Link(socket, {
       onFrame: (frame) => this.#receive(frame),
       onClose: (reason) => this.#lose(reason),
     });
     this.#link = link;
+    this.#failures = 0;
     link.send(this.#options.hello());
     this.#options.onLink?.({
       node: this.node,
@@ -203,6 +211,11 @@
   }
 
   #receive(frame: Frame): void {
+    if (frame.kind === "hello" && !this.#isExpected(frame)) {
+      this.#link?.close(`node ${frame.node} answers at the address`);
+      this.#retryAt = performance.now() + MISPLACED_RETRY_MS;
+      return;
+    }
     if ("load" in frame) this.#load = frame.load;
     switch (frame.kind) {
       case "answer":
@@ -227,6 +240,11 @@
     }
   }
 
+  // After a host is gone, its address may belong to another one.
+  #isExpected({ node, service }: HelloFrame): boolean {
+    return node === this.node && service === this.#options.service;
+  }
+
   #finish(id: number, result: WorkerResult): void {
     const pending = this.#pending.get(id);
     if (pending === undefined) return;
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -352,7 +352,7 @@
     if (node === this.#options.settings.node) return;
     const record = this.#directory.get(node);
     const channel = this.#channels.get(node);
-    if (channel !== undefined && channel.address !== record?.address) {
+    if (channel !== undefined && !channel.matches(record)) {
       this.#channels.delete(node);
       channel.close();
     }
@@ -365,13 +365,16 @@
     );
   }
 
-  #channelTo({ node, address, dataCentre }: WorkerRecord): PeerChannel {
+  #channelTo(
+    { node, address, dataCentre, service }: WorkerRecord,
+  ): PeerChannel {
     const known = this.#channels.get(node);
     if (known !== undefined) return known;
     const channel = new PeerChannel({
       node,
       address,
       dataCentre,
+      service,
       hello: () => this.#hello(),
       onFrame: (frame, peer) => this.#receive(frame, peer),
       onLink: ({ isOpen, node, reason, lostCalls }) =>
--- a/packages/sidecar/sidecar_node_test.ts
+++ b/packages/sidecar/sidecar_node_test.ts
@@ -150,6 +150,20 @@
   expect(server!.worker.ran).toEqual([]);
 });
 
+// Guards against calls that keep going to a host which is gone.
+test("a host removes the record of the one that had its address", async () => {
+  const [caller, server] = await started("menus", "members");
+  const { store } = fleet;
+  const { record } = store.entries.get(server!.name)!;
+  const gone = { ...record!, node: "gone", service: "menus" };
+  store.entries.set("gone", { record: gone, revision: store.revision + 1 });
+  store.changed();
+  await expect.poll(() => store.entries.get("gone")?.record).toBeUndefined();
+  for (let count = 0; count < 5; count++) {
+    expect((await fleet.call(caller!, "/menus/1")).status).toBe(200);
+  }
+});
+
 test("an answer is due at the time limit of the route", async () => {
   const [caller, server] = await started("menus", "members");
   fleet.configure(2, [menus, { ...members, timeoutMs: 200 }]);
--- a/packages/sidecar/store_follower.ts
+++ b/packages/sidecar/store_follower.ts
@@ -179,6 +179,7 @@
     }
     const wanted = this.#wanted;
     if (wanted === undefined) return "unchanged";
+    await this.#removePredecessors(wanted.address);
     if (known !== undefined && isSameRecord(known, wanted)) return "unchanged";
     const written = await records.writeRecord(wanted, revision);
     if (written !== undefined) {
@@ -187,6 +188,19 @@
     return written;
   }
 
+  // Records of hosts that had the address of this one before.
+  async #removePredecessors(address: string): Promise<void> {
+    const { records, directory, log, node } = this.#options;
+    const stale = directory.records.filter(({ record }) =>
+      record.address === address && record.node !== node
+    );
+    for (const { record, revision } of stale) {
+      await records.deleteRecord(record.node, revision);
+      directory.remove(record.node, revision);
+      log.write("info", "predecessor_removed", { peer: record.node, address });
+    }
+  }
+
   #woken(): Promise<void> {
     return new Promise((resolve) => {
       this.#wake = () => {
