Log decisions about requests within a bound and serve counters as text

Change: one closed list of request events; failures first, others for a sample of whole chains; lines never wait for their reader.

--- a/packages/calling/call_task.ts
+++ b/packages/calling/call_task.ts
@@ -59,12 +59,18 @@
 /** Final outcome of a request. */
 export type TaskResult = TaskAnswer | TaskRefusal;
 
-/** One step of a request, for the log. */
-export interface TaskStep {
-  readonly requestId: string;
-  readonly event: "sent" | "failed" | "answered" | "refused";
-  readonly node: string;
-  readonly reason: string;
+/** Receives what is decided about a request, for logs and counters. */
+export interface TaskObserver {
+  /** A worker was chosen. */
+  onSent(request: CallerRequest, channel: WorkerChannel): void;
+  /** A worker refused or failed the request. */
+  onPassedOver(
+    request: CallerRequest,
+    node: string,
+    failure: WorkerFailure,
+  ): void;
+  /** The request goes to another worker after it was sent to one. */
+  onRepeat(request: CallerRequest, reason: ErrorKind): void;
 }
 
 /** Options of {@linkcode CallTask}. */
@@ -77,8 +83,7 @@
   readonly answerBytes?: (service: string) => number;
   /** Receives the final outcome once. */
   readonly finish: (result: TaskResult) => void;
-  /** Counts a repeat by its reason. */
-  readonly onRetry?: (reason: ErrorKind, request: CallerRequest) => void;
+  readonly observer?: TaskObserver;
 }
 
 /**
@@ -93,6 +98,7 @@
   readonly #tried = new Set<string>();
   readonly #timer: NodeJS.Timeout;
   #ticket: GateTicket | undefined;
+  #node = "";
   #attempts = 0;
   #refusals = 0;
   #mayHaveRun = false;
@@ -111,6 +117,11 @@
     );
   }
 
+  /** Whether the outcome has been given. */
+  get isDone(): boolean {
+    return this.#isDone;
+  }
+
   /** Sends the request to its first worker. */
   start(): void {
     const { isRepeat, service } = this.#request;
@@ -135,6 +146,8 @@
     });
     if (channel === undefined) return this.#refuse(lastError, retryAfterMs);
     this.#tried.add(channel.node);
+    this.#node = channel.node;
+    this.#options.observer?.onSent(this.#request, channel);
     const { method, target, headers, body } = this.#request;
     const { isIdempotent, latencyTargetMs, rank } = this.#request;
     this.#ticket = channel.run({
@@ -171,6 +184,7 @@
 
   #receiveFailure(failure: WorkerFailure): void {
     const { error, mayHaveRun, wasSent, retryAfterMs } = failure;
+    this.#options.observer?.onPassedOver(this.#request, this.#node, failure);
     this.#mayHaveRun ||= mayHaveRun;
     if (mayHaveRun && !this.#request.isIdempotent) {
       return this.#refuse(error, retryAfterMs);
@@ -189,7 +203,7 @@
     const isAllowed = this.#attempts < maxAttempts &&
       deadline - performance.now() > MIN_RETRY_TIME_MS &&
       this.#options.allowance.take(service);
-    if (isAllowed) this.#options.onRetry?.(reason, this.#request);
+    if (isAllowed) this.#options.observer?.onRepeat(this.#request, reason);
     return isAllowed;
   }
 
--- a/packages/calling/caller_edge.ts
+++ b/packages/calling/caller_edge.ts
@@ -19,7 +19,12 @@
   type ReadHeaderOptions,
   type WorkerCall,
 } from "@oleanderdeck/serving";
-import { type CallerRequest, CallTask, type TaskResult } from "./call_task.ts";
+import {
+  type CallerRequest,
+  CallTask,
+  type TaskObserver,
+  type TaskResult,
+} from "./call_task.ts";
 import type { RetryAllowance } from "./retry_allowance.ts";
 import { RootShedding } from "./root_shedding.ts";
 import { RouteTable } from "./route_table.ts";
@@ -73,8 +78,7 @@
   readonly parentOf: (requestId: string) => WorkerCall | undefined;
   /** Whether the configuration in force may be older than the operator's. */
   readonly mayBeOutdated: () => boolean;
-  readonly onRefusal?: (refusal: EdgeRefusal) => void;
-  readonly onRetry?: (reason: ErrorKind, request: CallerRequest) => void;
+  readonly observer?: EdgeObserver;
 }
 
 /** Call that the worker makes while it runs a request. */
@@ -85,6 +89,23 @@
   readonly service: string;
 }
 
+/** Receives what is decided about requests, for logs and counters. */
+export interface EdgeObserver extends TaskObserver {
+  /** The answer of a worker was passed to the caller. */
+  onAnswered(request: CallerRequest, answer: EdgeAnswer): void;
+  /** The caller got an answer of this node. */
+  onRefused(refusal: EdgeRefusal): void;
+  /** The caller closed its connection before the answer. */
+  onCancelled(request: CallerRequest): void;
+}
+
+/** An answer of a worker. */
+export interface EdgeAnswer {
+  readonly status: number;
+  /** Time since the request arrived, in milliseconds. */
+  readonly elapsedMs: number;
+}
+
 /** A request that got no answer of a worker. */
 export interface EdgeRefusal {
   readonly requestId: string;
@@ -290,9 +311,13 @@
       allowance: this.#options.allowance,
       answerBytes: (service) => this.#answerBytes.get(service) ?? 0,
       finish: (result) => this.#answer(exchange, callerRequest, result),
-      ...(this.#options.onRetry && { onRetry: this.#options.onRetry }),
+      ...(this.#options.observer && { observer: this.#options.observer }),
+    });
+    response.once("close", () => {
+      if (task.isDone) return;
+      this.#options.observer?.onCancelled(callerRequest);
+      task.cancel();
     });
-    response.once("close", () => task.cancel());
     task.start();
   }
 
@@ -309,6 +334,10 @@
     if (result.kind === "answer") {
       const { response } = exchange;
       this.#noteAnswer(request.service, result.body.length);
+      this.#options.observer?.onAnswered(request, {
+        status: result.status,
+        elapsedMs: Math.round(performance.now() - exchange.arrivedAt),
+      });
       if (response.destroyed) return;
       response.writeHead(result.status, [
         ...result.headers,
@@ -343,7 +372,7 @@
   ): void {
     const defaults = ERROR_ANSWERS[error];
     const status = details.status ?? defaults.status;
-    this.#options.onRefusal?.({
+    this.#options.observer?.onRefused({
       requestId: details.requestId ?? "",
       service: details.service ?? "",
       error,
--- /dev/null
+++ b/packages/observability/log_output_test.ts
@@ -0,0 +1,43 @@
+import { Writable } from "node:stream";
+import { expect, test } from "vitest";
+import { LogOutput } from "./mod.ts";
+
+/** Reader that takes nothing until it is released. */
+class SlowReader extends Writable {
+  readonly lines: string[] = [];
+  #release: (() => void) | undefined;
+
+  override _write(chunk: Buffer, _encoding: string, done: () => void): void {
+    this.lines.push(chunk.toString());
+    this.#release = done;
+  }
+
+  release(): void {
+    this._write = (chunk: Buffer, _encoding, done) => {
+      this.lines.push(chunk.toString());
+      done();
+    };
+    this.#release?.();
+  }
+}
+
+test("lines pass to their reader", () => {
+  const reader = new SlowReader();
+  new LogOutput(reader).write("level=info event=a\n");
+  expect(reader.lines).toEqual(["level=info event=a\n"]);
+});
+
+// Guards against a data path that waits for whoever reads the log.
+test("lines beyond the bound are dropped and reported", async () => {
+  const reader = new SlowReader();
+  const output = new LogOutput(reader);
+  const line = "x".repeat(1_023) + "\n";
+  for (let count = 0; count < 400; count++) output.write(line);
+  expect(output.dropped).toBeGreaterThan(100);
+  reader.release();
+  await new Promise((resolve) => setTimeout(resolve, 10));
+  output.write("level=info event=last\n");
+  expect(reader.lines.at(-2)).toBe(
+    `level=warn dropped=${output.dropped} event=log_lines_dropped\n`,
+  );
+});
--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -13,9 +13,9 @@
   type WorkerRecord,
 } from "@oleanderdeck/directory";
 import { DeckError } from "@oleanderdeck/errors";
-import { EventLog } from "@oleanderdeck/observability";
+import { EventLog, MetricsPage, RequestLog } from "@oleanderdeck/observability";
 import type { HeaderNames } from "@oleanderdeck/serving";
-import { SidecarNode } from "./mod.ts";
+import { RequestObserver, SidecarNode } from "./mod.ts";
 
 /** Header names for tests. */
 export const TEST_NAMES: HeaderNames = {
@@ -237,6 +237,8 @@
   readonly store = new TestStore();
   readonly hosts = new Map<string, TestHost>();
   readonly lines: string[] = [];
+  readonly metrics = new MetricsPage();
+  #requests: RequestLog | undefined;
   readonly #log = new EventLog({
     level: "debug",
     output: new Writable({
@@ -251,6 +253,10 @@
   async add(name: string, service: string): Promise<TestHost> {
     const worker = new TestWorker();
     await worker.listen();
+    this.#requests ??= await RequestLog.open({
+      log: this.#log,
+      metrics: this.metrics,
+    });
     const [callPort, linkPort] = [await freePort(), await freePort()];
     const host: TestHost = {
       name,
@@ -355,6 +361,10 @@
       names: TEST_NAMES,
       records: new TestRecords(this.store, name),
       log: this.#log,
+      observer: new RequestObserver({
+        metrics: this.metrics,
+        requests: this.#requests!,
+      }),
       settings: {
         node: name,
         dataCentre: "wa-a",
--- a/packages/sidecar/mod.ts
+++ b/packages/sidecar/mod.ts
@@ -6,6 +6,7 @@
  */
 
 export * from "./peer_server.ts";
+export * from "./request_observer.ts";
 export * from "./sidecar_node.ts";
 export * from "./sidecar_settings.ts";
 export * from "./store_follower.ts";
--- a/packages/sidecar/peer_server.ts
+++ b/packages/sidecar/peer_server.ts
@@ -7,6 +7,7 @@
   type LoadReport,
 } from "@oleanderdeck/hop";
 import type { GateTicket, WorkerGate } from "@oleanderdeck/serving";
+import type { RequestObserver } from "./request_observer.ts";
 import type { ListenAddress } from "./sidecar_settings.ts";
 
 /** Change of the used share of the slots that peers are told unasked. */
@@ -23,6 +24,7 @@
   readonly load: () => LoadReport;
   /** Takes frames that do not concern calls. */
   readonly onFrame: (frame: Frame, link: Link) => void;
+  readonly observer?: RequestObserver;
 }
 
 /** Link of a caller with its calls at this node. */
@@ -121,6 +123,7 @@
       isFinished = true;
       entry.tickets.delete(id);
       const report = load();
+      this.#options.observer?.onWorkerResult(frame, result, report);
       entry.told = report;
       entry.link.send(
         result.kind === "answer"
--- /dev/null
+++ b/packages/sidecar/request_observer.ts
@@ -0,0 +1,121 @@
+import type {
+  CallerRequest,
+  EdgeAnswer,
+  EdgeObserver,
+  EdgeRefusal,
+  WorkerChannel,
+} from "@oleanderdeck/calling";
+import type { ErrorKind } from "@oleanderdeck/errors";
+import type { LoadReport } from "@oleanderdeck/hop";
+import type { MetricsPage, RequestLog } from "@oleanderdeck/observability";
+import type {
+  WorkerCall,
+  WorkerFailure,
+  WorkerResult,
+} from "@oleanderdeck/serving";
+
+/** Options of {@linkcode RequestObserver}. */
+export interface RequestObserverOptions {
+  readonly requests: RequestLog;
+  readonly metrics: MetricsPage;
+}
+
+/** Writes what a node decides about requests to its log and its counters. */
+export class RequestObserver implements EdgeObserver {
+  readonly #options: RequestObserverOptions;
+
+  /** @param options Log and counters. */
+  constructor(options: RequestObserverOptions) {
+    this.#options = options;
+  }
+
+  onSent(request: CallerRequest, { node, load }: WorkerChannel): void {
+    this.#options.requests.write("request_sent", request.requestId, () => ({
+      service: request.service,
+      worker: node,
+      rank: request.rank,
+      ...(load && { running: load.running, waiting: load.waiting }),
+      left_ms: Math.round(request.deadline - performance.now()),
+    }));
+  }
+
+  onPassedOver(
+    request: CallerRequest,
+    node: string,
+    failure: WorkerFailure,
+  ): void {
+    const { requests } = this.#options;
+    requests.write("request_passed_over", request.requestId, () => ({
+      service: request.service,
+      worker: node,
+      reason: failure.error,
+      may_have_run: failure.mayHaveRun,
+    }));
+  }
+
+  onRepeat(request: CallerRequest, reason: ErrorKind): void {
+    const { metrics, requests } = this.#options;
+    const { requestId, service } = request;
+    metrics.count("retries", { reason, service });
+    requests.write("request_repeated", requestId, () => ({ service, reason }));
+  }
+
+  onAnswered(request: CallerRequest, answer: EdgeAnswer): void {
+    const { metrics, requests } = this.#options;
+    const { rank, requestId, service } = request;
+    metrics.observe("answer_ms", answer.elapsedMs, {
+      service,
+      rank,
+      outcome: `${Math.floor(answer.status / 100)}xx`,
+    });
+    requests.write("request_answered", requestId, () => ({
+      service,
+      status: answer.status,
+      elapsed_ms: answer.elapsedMs,
+    }));
+  }
+
+  onRefused(refusal: EdgeRefusal): void {
+    const { metrics, requests } = this.#options;
+    const { elapsedMs, error: reason, requestId, service, status } = refusal;
+    metrics.count("refusals", { reason, service });
+    requests.write("request_refused", requestId, () => ({
+      service,
+      reason,
+      status,
+      elapsed_ms: elapsedMs,
+    }));
+  }
+
+  onCancelled({ requestId, service }: CallerRequest): void {
+    const { metrics, requests } = this.#options;
+    metrics.count("cancellations", { service });
+    requests.write("request_cancelled", requestId, () => ({ service }));
+  }
+
+  /** Notes the outcome of a call at the worker of this host. */
+  onWorkerResult(
+    { rank, requestId }: Pick<WorkerCall, "rank" | "requestId">,
+    result: WorkerResult,
+    load: LoadReport,
+  ): void {
+    const { metrics, requests } = this.#options;
+    if (result.kind === "answer") {
+      return requests.write("call_run", requestId, () => ({
+        status: result.status,
+        rank,
+      }));
+    }
+    const { error: reason, mayHaveRun, wasSent } = result;
+    metrics.count("worker_failures", { reason });
+    requests.write(wasSent ? "call_failed" : "call_refused", requestId, () => ({
+      reason,
+      rank,
+      may_have_run: mayHaveRun,
+      running: load.running,
+      waiting: load.waiting,
+      slots: load.slots,
+      hold_ms: load.holdMs,
+    }));
+  }
+}
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -20,7 +20,7 @@
   LoadReport,
   RoutePressure,
 } from "@oleanderdeck/hop";
-import type { EventLog } from "@oleanderdeck/observability";
+import type { EventLog, MetricsPage } from "@oleanderdeck/observability";
 import {
   type HeaderNames,
   OverloadMeter,
@@ -31,6 +31,7 @@
 } from "@oleanderdeck/serving";
 import { CallGraph } from "./call_graph.ts";
 import { PeerServer } from "./peer_server.ts";
+import type { RequestObserver } from "./request_observer.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
 import { StoreFollower } from "./store_follower.ts";
 
@@ -67,6 +68,10 @@
   readonly names: HeaderNames;
   readonly records: PlatformRecords;
   readonly log: EventLog;
+  /** Present values of the node are added to it. */
+  readonly metrics?: MetricsPage;
+  /** Receives what is decided about requests. */
+  readonly observer?: RequestObserver;
 }
 
 /** What one node passes on to another that cannot reach the store. */
@@ -126,6 +131,7 @@
       hello: () => this.#hello(),
       load: () => this.#load(),
       onFrame: (frame, link) => this.#receive(frame, link),
+      ...(options.observer && { observer: options.observer }),
     });
     this.#edge = new CallerEdge({
       names,
@@ -145,20 +151,7 @@
       maxHeldBytes: settings.memoryMb * 1024 * 1024 * HELD_BODIES_SHARE,
       parentOf: (requestId) => this.#gate.parentOf(requestId),
       mayBeOutdated: () => this.#store.silentMs > 30_000,
-      onRefusal: ({ requestId, service, error, status, elapsedMs }) =>
-        log.write("info", "request_refused", {
-          request: requestId,
-          service,
-          reason: error,
-          status,
-          elapsed_ms: elapsedMs,
-        }),
-      onRetry: (reason, { requestId, service }) =>
-        log.write("info", "request_repeated", {
-          request: requestId,
-          service,
-          reason,
-        }),
+      ...(options.observer && { observer: options.observer }),
     });
     this.#store = new StoreFollower({
       records,
@@ -168,6 +161,15 @@
       node: settings.node,
       onOwnRecord: (record) => this.#adoptOwnRecord(record),
     });
+    options.metrics?.gauge("calls_running", () => this.#gate.load.running);
+    options.metrics?.gauge("calls_waiting", () => this.#gate.load.waiting);
+    options.metrics?.gauge("slots", () => this.#gate.load.slots);
+    options.metrics?.gauge("pressure", () => this.#pressure);
+    options.metrics?.gauge("store_silent_ms", () => this.#store.silentMs);
+    options.metrics?.gauge(
+      "configuration_version",
+      () => this.#configuration.version,
+    );
     this.#directory.onChange((node) => this.#followRecord(node));
     this.#tracker.onChange(() => this.#publish());
     this.#configuration.onChange(({ version }) => {
