Take the least pressure of a service's workers and judge queues by their wait

Change: a service's pressure is the least of its workers', and a queue counts when its wait exceeds 0.3 of the latency target.

--- a/packages/serving/overload_meter.ts
+++ b/packages/serving/overload_meter.ts
@@ -1,9 +1,12 @@
 /** Rise of the pressure when all calls of an interval were refused. */
 const RISE_WHEN_ALL_REFUSED = 0.15;
 
-/** Rise while the queue is longer than half of the slots. */
+/** Rise while calls wait long. */
 const RISE_WHEN_QUEUED = 0.02;
 
+/** Share of the latency target of the calls that counts as a long wait. */
+const LONG_WAIT_SHARE = 0.3;
+
 /** Part of the pressure that remains after an interval without overload. */
 const REMAINDER_WHEN_BUSY = 0.95;
 const REMAINDER_WHEN_FREE = 0.75;
@@ -22,8 +25,10 @@
   readonly refused: number;
   /** Calls at the worker now. */
   readonly running: number;
-  /** Calls that wait now. */
-  readonly waiting: number;
+  /** Expected time for which a new call waits, in milliseconds. */
+  readonly waitMs: number;
+  /** Mean latency target of the calls, in milliseconds. */
+  readonly latencyTargetMs: number;
   /** Calls that the worker may run at the same time. */
   readonly slots: number;
 }
@@ -42,8 +47,10 @@
   }
 
   /** Takes the counts of one interval. */
-  update({ arrived, refused, running, waiting, slots }: GateInterval): void {
-    const isQueued = waiting > slots / 2;
+  update(interval: GateInterval): void {
+    const { arrived, refused, running, slots } = interval;
+    const isQueued =
+      interval.waitMs > LONG_WAIT_SHARE * interval.latencyTargetMs;
     if (isQueued || refused > 0) {
       const share = Math.min(1, refused / Math.max(1, arrived));
       this.#pressure += RISE_WHEN_ALL_REFUSED * share +
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -11,9 +11,12 @@
 import type { HeaderNames } from "./header_names.ts";
 import type { WorkerTracker } from "./worker_state.ts";
 
-/** Weight of a new sample in the means of hold time and failures. */
+/** Weight of a new sample in the means of the gate. */
 const SAMPLE_WEIGHT = 0.05;
 
+/** Latency target that is assumed before the first call, in milliseconds. */
+const INITIAL_LATENCY_TARGET_MS = 1_000;
+
 /** Hold time that is assumed before the first sample, in milliseconds. */
 const INITIAL_HOLD_MS = 50;
 
@@ -73,6 +76,7 @@
   readonly #atWorker = new Map<string, WorkerCall>();
   #running = 0;
   #holdMs = INITIAL_HOLD_MS;
+  #latencyTargetMs = INITIAL_LATENCY_TARGET_MS;
   #failureShare = 0;
   #arrived = 0;
   #refused = 0;
@@ -126,6 +130,8 @@
    */
   run(call: WorkerCall, finish: (result: WorkerResult) => void): GateTicket {
     this.#arrived++;
+    this.#latencyTargetMs += SAMPLE_WEIGHT *
+      (call.latencyTargetMs - this.#latencyTargetMs);
     const entry: Entry = {
       rank: call.rank,
       call,
@@ -151,7 +157,8 @@
       arrived: this.#arrived,
       refused: this.#refused,
       running: this.#running,
-      waiting: this.#queue.length,
+      waitMs: this.#expectedWaitMs(Infinity),
+      latencyTargetMs: this.#latencyTargetMs,
       slots: this.#options.tracker.state.slots,
     };
     this.#arrived = 0;
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -266,16 +266,14 @@
     );
   }
 
-  // Mean over the workers, since calls are spread over all of them.
+  // A service has room while one of its workers has.
   #pressureOf(service: string, route: string): number {
-    let reports = 0;
-    let sum = 0;
+    let least = Infinity;
     for (const { load } of this.#channelsOf(service)) {
-      if (load === undefined) continue;
-      reports++;
-      sum += pressureFor(load, route);
+      if (load === undefined || load.slots === 0) continue;
+      least = Math.min(least, pressureFor(load, route));
     }
-    return reports === 0 ? 0 : sum / reports;
+    return least === Infinity ? 0 : least;
   }
 
   #hello(): HelloFrame {
