--- a/packages/calling/peer_channel.ts
+++ b/packages/calling/peer_channel.ts
@@ -53,6 +53,7 @@
 
 interface PendingCall {
   readonly finish: (result: WorkerResult) => void;
+  readonly isIdempotent: boolean;
   isSent: boolean;
   readonly send: (link: Link) => void;
 }
@@ -93,7 +94,9 @@
   }
 
   get isReachable(): boolean {
-    return this.#link !== undefined || this.#failures === 0;
+    return this.#link === undefined
+      ? this.#failures === 0
+      : !this.#link.isSuspect;
   }
 
   /** Whether a record of the peer has the address and service of the channel. */
@@ -112,6 +115,7 @@
     const acceptedAt = performance.now();
     const pending: PendingCall = {
       finish,
+      isIdempotent: call.isIdempotent,
       isSent: false,
       send: (link) => {
         pending.isSent = true;
@@ -180,9 +184,15 @@
     this.#link?.send(frame);
   }
 
-  /** Checks the link; see {@linkcode Link.check}. */
+  /**
+   * Checks the link; see {@linkcode Link.check}. Idempotent calls do not wait
+   * for the end of a link whose peer seems to be gone.
+   */
   check(): void {
-    this.#link?.check();
+    const link = this.#link;
+    if (link === undefined) return;
+    link.check(this.#pending.size > 0);
+    if (link.isSuspect) this.#giveUp(({ isIdempotent }) => isIdempotent);
   }
 
   /** Ends the link and all calls on it. */
@@ -286,6 +296,15 @@
       finish(failure(isSent ? error : "connection_refused", isSent))
     );
   }
+
+  #giveUp(isChosen: (call: PendingCall) => boolean): void {
+    const given = [...this.#pending].filter(([, call]) => isChosen(call));
+    given.forEach(([id, call]) => {
+      this.#pending.delete(id);
+      this.#link?.send({ kind: "cancel", id });
+      call.finish(failure("connection_lost", true));
+    });
+  }
 }
 
 function failure(error: ErrorKind, mayHaveRun: boolean): WorkerResult {
--- /dev/null
+++ b/packages/calling/peer_channel_test.ts
@@ -0,0 +1,175 @@
+import { createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { afterEach, expect, test } from "vitest";
+import type { Frame } from "@oleanderdeck/hop";
+import { Link } from "@oleanderdeck/hop";
+import type { WorkerCall, WorkerResult } from "@oleanderdeck/serving";
+import { PeerChannel } from "./mod.ts";
+import { IDLE } from "./_test_channel.ts";
+
+const closers: (() => void)[] = [];
+afterEach(() => closers.splice(0).forEach((close) => close()));
+
+/** Peer whose frames a test answers, or leaves unanswered. */
+async function peer(accept: (socket: Socket) => void): Promise<string> {
+  const sockets: Socket[] = [];
+  const server: Server = createServer((socket) => {
+    socket.on("error", () => socket.destroy());
+    sockets.push(socket);
+    accept(socket);
+  });
+  closers.push(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function channelTo(address: string): PeerChannel {
+  const channel = new PeerChannel({
+    node: "n1",
+    dataCentre: "wa-a",
+    service: "menus",
+    address,
+    hello: () => ({
+      kind: "hello",
+      node: "n0",
+      service: "menus",
+      configurationVersion: 1,
+      load: IDLE,
+    }),
+    onFrame: () => undefined,
+  });
+  const timer = setInterval(() => channel.check(), 100);
+  closers.push(() => {
+    clearInterval(timer);
+    channel.close();
+  });
+  return channel;
+}
+
+function run(
+  channel: PeerChannel,
+  change: Partial<WorkerCall> = {},
+): Promise<{ result: WorkerResult; elapsedMs: number }> {
+  const startedAt = performance.now();
+  return new Promise((resolve) =>
+    channel.run({
+      requestId: "r1",
+      route: "menu-read",
+      method: "GET",
+      target: "/",
+      headers: [],
+      body: Buffer.alloc(0),
+      timeLeftMs: 5_000,
+      latencyTargetMs: 500,
+      rank: 8,
+      isIdempotent: true,
+      isRepeat: false,
+      ...change,
+    }, {
+      service: "menus",
+      finish: (result) =>
+        resolve({ result, elapsedMs: performance.now() - startedAt }),
+    })
+  );
+}
+
+/** Peer that greets, and answers frames by a function. */
+function greeting(
+  onFrame: (frame: Frame, link: Link) => void,
+  service = "menus",
+): (socket: Socket) => void {
+  return (socket) => {
+    const link: Link = new Link(socket, {
+      onFrame: (frame) => onFrame(frame, link),
+      onClose: () => undefined,
+    });
+    link.send({
+      kind: "hello",
+      node: "n1",
+      service,
+      configurationVersion: 1,
+      load: IDLE,
+    });
+  };
+}
+
+test("an answer finds its call", async () => {
+  const address = await peer(greeting((frame, link) => {
+    if (frame.kind !== "call") return;
+    const body = Buffer.from(frame.requestId);
+    const { id } = frame;
+    link.send({
+      kind: "answer",
+      id,
+      status: 200,
+      headers: [],
+      load: IDLE,
+      body,
+    });
+  }));
+  const channel = channelTo(address);
+  const answers = await Promise.all(
+    ["a", "b"].map((requestId) => run(channel, { requestId })),
+  );
+  expect(answers.map(({ result }) => result)).toMatchObject([
+    { status: 200, body: Buffer.from("a") },
+    { status: 200, body: Buffer.from("b") },
+  ]);
+});
+
+// Guards against reads that wait for a frozen host until their time is over.
+test("an idempotent call does not wait for a silent peer", async () => {
+  const channel = channelTo(await peer(() => undefined));
+  const { result, elapsedMs } = await run(channel);
+  expect(result).toMatchObject({ error: "connection_lost", mayHaveRun: true });
+  expect(elapsedMs).toBeLessThan(1_500);
+  expect(channel.isReachable).toBe(false);
+});
+
+// Guards against a booking that is given up although its answer may come.
+test("a non-idempotent call waits for the end of the link", async () => {
+  const channel = channelTo(await peer(() => undefined));
+  const { result, elapsedMs } = await run(channel, { isIdempotent: false });
+  expect(result).toMatchObject({ error: "connection_lost", mayHaveRun: true });
+  expect(elapsedMs).toBeGreaterThan(2_000);
+});
+
+test("a slow worker behind a sound link is waited for", async () => {
+  const address = await peer(greeting((frame, link) => {
+    if (frame.kind !== "call") return;
+    const { id } = frame;
+    const body = Buffer.alloc(0);
+    setTimeout(() =>
+      link.send({
+        kind: "answer",
+        id,
+        status: 200,
+        headers: [],
+        load: IDLE,
+        body,
+      }), 1_800);
+  }));
+  const { result } = await run(channelTo(address));
+  expect(result).toMatchObject({ status: 200 });
+});
+
+// Guards against a host of another service that took over an address.
+test("a peer that is not the expected one is not used", async () => {
+  const channel = channelTo(await peer(greeting(() => undefined, "members")));
+  expect((await run(channel)).result).toMatchObject({ kind: "failure" });
+  expect(channel.isReachable).toBe(false);
+});
+
+test("a refused link proves that a call was not sent", async () => {
+  const channel = channelTo("127.0.0.1:1");
+  expect((await run(channel)).result).toMatchObject({
+    error: "connection_refused",
+    mayHaveRun: false,
+    wasSent: false,
+  });
+});
--- a/packages/hop/link.ts
+++ b/packages/hop/link.ts
@@ -3,7 +3,22 @@
 import type { Frame } from "./frame.ts";
 
 /** Time without any byte after which a ping is sent, in milliseconds. */
-const PING_AFTER_MS = 700;
+const PING_IDLE_AFTER_MS = 1_000;
+
+/** The same while the owner waits for a frame of the peer. */
+const PING_WAITING_AFTER_MS = 200;
+
+/**
+ * Time without an answer to a ping after which a link is not used for more, in
+ * milliseconds. It covers one repeat of a lost packet.
+ */
+const SUSPECT_AFTER_MS = 450;
+
+/**
+ * Time between two checks above which the process itself was held up and may
+ * not have read what has arrived, in milliseconds.
+ */
+const HELD_UP_MS = 600;
 
 /**
  * Time without any byte after which a link is closed, in milliseconds. It
@@ -32,6 +47,8 @@
   readonly #reader = new FrameReader();
   #unwritten: Buffer[] = [];
   #lastReceived = performance.now();
+  #lastChecked = performance.now();
+  #pingedAt: number | undefined;
   #isClosed = false;
 
   /**
@@ -52,14 +69,10 @@
     return this.#isClosed;
   }
 
-  /** Time since the last byte of the peer, in milliseconds. */
-  get silentMs(): number {
-    return performance.now() - this.#lastReceived;
-  }
-
-  /** Bytes that the peer has not taken yet. */
-  get unsentBytes(): number {
-    return this.#socket.writableLength;
+  /** Whether the peer has left a ping unanswered for some time. */
+  get isSuspect(): boolean {
+    return this.#pingedAt !== undefined &&
+      this.#lastChecked - this.#pingedAt > SUSPECT_AFTER_MS;
   }
 
   /**
@@ -83,11 +96,22 @@
   /**
    * Pings a silent peer and closes the link when the peer stays silent. The
    * owner calls it some times a second, with one timer for all links.
+   *
+   * @param isWaiting Whether the owner waits for a frame of the peer.
    */
-  check(): void {
-    const silent = this.silentMs;
-    if (silent > SILENT_MS) this.close("no bytes from the peer");
-    else if (silent > PING_AFTER_MS) this.send({ kind: "ping" });
+  check(isWaiting: boolean): void {
+    const now = performance.now();
+    const wasHeldUp = now - this.#lastChecked > HELD_UP_MS;
+    this.#lastChecked = now;
+    if (wasHeldUp) this.#pingedAt = undefined;
+    const silent = now - this.#lastReceived;
+    const pingAfter = isWaiting ? PING_WAITING_AFTER_MS : PING_IDLE_AFTER_MS;
+    if (silent > SILENT_MS && !wasHeldUp) {
+      this.close("no bytes from the peer");
+    } else if (silent > pingAfter && this.#pingedAt === undefined) {
+      this.#pingedAt = now;
+      this.send({ kind: "ping" });
+    }
   }
 
   #flush(): void {
@@ -106,6 +130,7 @@
 
   #receive(chunk: Buffer): void {
     this.#lastReceived = performance.now();
+    this.#pingedAt = undefined;
     let frames: readonly Frame[];
     try {
       frames = this.#reader.read(chunk);
--- a/packages/sidecar/peer_server.ts
+++ b/packages/sidecar/peer_server.ts
@@ -74,7 +74,7 @@
 
   /** Checks all links; see {@linkcode Link.check}. */
   check(): void {
-    this.#links.forEach(({ link }) => link.check());
+    this.#links.forEach(({ link }) => link.check(false));
   }
 
   /** Closes the listener and all links. */
