Take silent and unreachable workers out of use, and follow changed settings

Cause: a crashed worker refuses connections at once, so its gate looked idle and drew calls that were then passed on; settings were read only at the start; a node cut off from the store answered 404 for routes that it could not know.

Change: two refused connections in a row, or three missed statements without an answer, suspend a worker until its next statement. While the store is away an unknown route is answered as not ready.

--- a/packages/calling/call_task_test.ts
+++ b/packages/calling/call_task_test.ts
@@ -35,7 +35,7 @@
     dataCentre: "wa-a",
     channels: () => channels,
     allowance: new RetryAllowance({
-      ratio: 0,
+      ratio: () => 0,
       constant: () => options.repeats ?? 10,
       windowMs: 10_000,
     }),
--- a/packages/calling/caller_edge.ts
+++ b/packages/calling/caller_edge.ts
@@ -73,7 +73,7 @@
   /** Called for each call of the worker on this host. */
   readonly onNestedCall: (call: NestedCall) => void;
   /** Bytes of request bodies that may be held at the same time. */
-  readonly maxHeldBytes: number;
+  readonly maxHeldBytes: () => number;
   /** Request at the worker on this host that a call belongs to. */
   readonly parentOf: (requestId: string) => WorkerCall | undefined;
   /** Whether the configuration in force may be older than the operator's. */
@@ -255,7 +255,7 @@
       if (length > this.#limits.maxBodyBytes) {
         chunks.length = 0;
         this.#refuse(exchange, "too_large");
-      } else if (this.#heldBytes > this.#options.maxHeldBytes) {
+      } else if (this.#heldBytes > this.#options.maxHeldBytes()) {
         chunks.length = 0;
         this.#refuse(exchange, "not_ready");
       }
--- a/packages/calling/retry_allowance.ts
+++ b/packages/calling/retry_allowance.ts
@@ -3,8 +3,8 @@
 
 /** Options of {@linkcode RetryAllowance}. */
 export interface RetryAllowanceOptions {
-  /** Repeats for each first attempt that this node may send. */
-  readonly ratio: number;
+  /** Repeats for each first attempt that this node may send, at present. */
+  readonly ratio: () => number;
   /** Repeats in a window that need no first attempts, at present. */
   readonly constant: () => number;
   /** Length of the window in milliseconds. */
@@ -56,7 +56,7 @@
       repeats += entry.repeats;
     }
     const { constant, ratio } = this.#options;
-    if (repeats + 1 > constant() + ratio * first) return false;
+    if (repeats + 1 > constant() + ratio() * first) return false;
     bucket.repeats++;
     return true;
   }
--- a/packages/calling/routing_test.ts
+++ b/packages/calling/routing_test.ts
@@ -146,7 +146,7 @@
 
 test("repeats are bounded by first attempts and the constant", () => {
   const allowance = new RetryAllowance({
-    ratio: 0.1,
+    ratio: () => 0.1,
     constant: () => 1,
     windowMs: 10_000,
   });
@@ -158,7 +158,7 @@
 // Guards against chains whose repeats multiply at each service.
 test("calls of a repeated request use up the allowance", () => {
   const allowance = new RetryAllowance({
-    ratio: 0.1,
+    ratio: () => 0.1,
     constant: () => 0,
     windowMs: 10_000,
   });
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -31,6 +31,9 @@
 /** Shortest time left with which a call is sent to the worker. */
 const MIN_TIME_LEFT_MS = 5;
 
+/** Refused connections in a row that show that the worker is gone. */
+const CONNECTIONS_TO_SUSPEND = 2;
+
 /** Time for an answer that the worker gives at the end of its time. */
 const LOST_ANSWER_MARGIN_MS = 300;
 
@@ -42,8 +45,6 @@
   readonly tracker: WorkerTracker;
   readonly connections: WorkerConnections;
   readonly names: HeaderNames;
-  /** Called when the worker refuses connections. */
-  readonly onUnreachable?: () => void;
 }
 
 /** A call that was handed to the gate. */
@@ -78,6 +79,8 @@
   #holdMs = INITIAL_HOLD_MS;
   #latencyTargetMs = INITIAL_LATENCY_TARGET_MS;
   #failureShare = 0;
+  #answeredAt = performance.now();
+  #refusedConnections = 0;
   #arrived = 0;
   #refused = 0;
   #isClosed = false;
@@ -95,6 +98,11 @@
     return this.#running + this.#queue.length;
   }
 
+  /** Time since the worker's last answer, in milliseconds. */
+  get answerlessMs(): number {
+    return performance.now() - this.#answeredAt;
+  }
+
   /** Whether calls are taken at present. */
   get isOpen(): boolean {
     return !this.#isClosed && this.#options.tracker.state.isReady;
@@ -236,9 +244,12 @@
     if (isAnswer) {
       const held = performance.now() - entry.startedAt;
       this.#holdMs += SAMPLE_WEIGHT * (held - this.#holdMs);
-    } else if (result.error === "connection_refused") {
-      this.#options.onUnreachable?.();
-    }
+      this.#answeredAt = performance.now();
+      this.#refusedConnections = 0;
+    } else if (
+      result.error === "connection_refused" &&
+      ++this.#refusedConnections >= CONNECTIONS_TO_SUSPEND
+    ) this.#options.tracker.suspend();
     if (!isCancelled) {
       const failed = isAnswer && result.status < 500 ? 0 : 1;
       this.#failureShare += SAMPLE_WEIGHT * (failed - this.#failureShare);
--- a/packages/serving/worker_gate_test.ts
+++ b/packages/serving/worker_gate_test.ts
@@ -145,6 +145,17 @@
   expect(worker.received).toHaveLength(1);
 });
 
+// Guards against a crashed worker that looks idle and draws all calls.
+test("a worker that refuses connections takes no calls", async () => {
+  const { run, gate, worker, state, results } = await start(4);
+  worker.close();
+  ["a", "b"].forEach((name) => run(name));
+  await expect.poll(() => results.size).toBe(2);
+  expect(gate.load.slots).toBe(0);
+  state("ready", 2);
+  expect(gate.load.slots).toBe(4);
+});
+
 test("a nested call finds the request that it belongs to", async () => {
   const { run, arrived, gate } = await start(1);
   run("a.b", { rank: 3 });
--- a/packages/serving/worker_state.ts
+++ b/packages/serving/worker_state.ts
@@ -86,6 +86,14 @@
     return true;
   }
 
+  /**
+   * Takes the worker out of use until its next statement, because it does not
+   * answer.
+   */
+  suspend(): void {
+    this.#set({ ...this.#state, isReady: false });
+  }
+
   /** The worker states that it leaves and takes no more calls. */
   leave(workerId: string, startedAt = this.#startedAt): boolean {
     if (this.#state.workerId !== "" && this.#state.workerId !== workerId) {
--- a/packages/serving/worker_state_test.ts
+++ b/packages/serving/worker_state_test.ts
@@ -56,6 +56,18 @@
   expect(tracker.state.isReady).toBe(true);
 });
 
+// Guards against calls that go on to a worker which has crashed.
+test("a suspended worker is back with its next statement", () => {
+  const tracker = new WorkerTracker();
+  tracker.take(statement());
+  tracker.suspend();
+  expect(tracker.state.isReady).toBe(false);
+  expect(tracker.take(statement())).toBe(false);
+  expect(tracker.state.isReady).toBe(false);
+  tracker.take(statement({ sequence: 2 }));
+  expect(tracker.state.isReady).toBe(true);
+});
+
 test("the worker of an earlier process is assumed until it speaks", () => {
   const tracker = new WorkerTracker();
   tracker.assume("i-1", 8);
--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -375,7 +375,6 @@
         memoryMb: 200,
         heartbeatMs: 1_000,
         graceMs: 3_000,
-        configurationMs: 2_000,
         retries: { ratio: 0.2, constant: 40, windowMs: 10_000 },
       },
     });
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -59,6 +59,9 @@
 /** Time between two looks at the work in progress of a stop. */
 const STOP_CHECK_MS = 25;
 
+/** Statements in a row that a sound worker does not miss. */
+const SILENT_HEARTBEATS = 3;
+
 /** Part of the time for a stop that is kept for closing, in milliseconds. */
 const STOP_MARGIN_MS = 1_000;
 
@@ -102,14 +105,15 @@
   readonly #graph = new CallGraph();
   #pressure = 0;
   #routePressures: readonly RoutePressure[] = [];
+  #settings: SidecarSettings;
   #tick: NodeJS.Timeout | undefined;
   #isStopping = false;
-  #isWorkerUnreachable = false;
 
   /** @param options Settings, header names, store and log. */
   constructor(options: SidecarNodeOptions) {
     this.#options = options;
     const { names, records, log, settings } = options;
+    this.#settings = settings;
     this.#connections = new WorkerConnections({
       address: settings.workerAddress,
       names,
@@ -139,18 +143,19 @@
       dataCentre: settings.dataCentre,
       configuration: this.#configuration,
       allowance: new RetryAllowance({
-        ratio: settings.retries.ratio * OWN_RETRY_SHARE,
+        ratio: () => OWN_RETRY_SHARE * this.#settings.retries.ratio,
         constant: () =>
-          OWN_RETRY_SHARE * settings.retries.constant /
+          OWN_RETRY_SHARE * this.#settings.retries.constant /
           Math.max(1, this.#directory.size),
         windowMs: settings.retries.windowMs,
       }),
       channels: (service) => this.#channelsOf(service),
       pressureOf: (service, route) => this.#pressureOf(service, route),
       onNestedCall: (call) => this.#graph.note(call),
-      maxHeldBytes: settings.memoryMb * 1024 * 1024 * HELD_BODIES_SHARE,
+      maxHeldBytes: () =>
+        this.#settings.memoryMb * 1024 * 1024 * HELD_BODIES_SHARE,
       parentOf: (requestId) => this.#gate.parentOf(requestId),
-      mayBeOutdated: () => this.#store.silentMs > 30_000,
+      mayBeOutdated: () => this.#store.isAway,
       ...(options.observer && { observer: options.observer }),
     });
     this.#store = new StoreFollower({
@@ -209,19 +214,30 @@
     const before = this.#tracker.state.workerId;
     if (!this.#tracker.take(statement)) return;
     if (before !== statement.workerId) this.#connections.forgetIdle();
-    this.#isWorkerUnreachable = false;
   }
 
   /** The worker on this host leaves. */
   takeLeave(workerId: string, startedAt?: number): void {
-    this.#tracker.leave(workerId, startedAt);
+    const isTaken = this.#tracker.leave(workerId, startedAt);
+    this.#options.log.write("info", "worker_leaving", {
+      worker: workerId,
+      taken: isTaken,
+    });
+  }
+
+  /**
+   * Puts changed settings into force, but for names and addresses, which need a
+   * new start.
+   */
+  applySettings(settings: SidecarSettings): void {
+    this.#settings = settings;
   }
 
   /** Finishes the work in progress and closes; resolves when all is closed. */
   async stop(): Promise<void> {
     if (this.#isStopping) return;
     this.#isStopping = true;
-    const { graceMs, node } = this.#options.settings;
+    const { graceMs, node } = this.#settings;
     this.#options.log.write("info", "node_stopping", { node });
     this.#edge.startClosing();
     if (!this.#tracker.state.isReady) this.#store.withdraw();
@@ -351,6 +367,19 @@
     });
   }
 
+  // A worker that neither states its presence nor answers has crashed.
+  #checkWorker(): void {
+    const silentMs = SILENT_HEARTBEATS * this.#settings.heartbeatMs;
+    if (
+      this.#tracker.state.isReady && this.#tracker.silentMs > silentMs &&
+      this.#gate.answerlessMs > silentMs
+    ) {
+      const worker = this.#tracker.state.workerId;
+      this.#options.log.write("warn", "worker_silent", { worker });
+      this.#tracker.suspend();
+    }
+  }
+
   #followRecord(node: string): void {
     this.#channelsByService.clear();
     if (node === this.#options.settings.node) return;
@@ -397,6 +426,7 @@
   }
 
   #check(): void {
+    this.#checkWorker();
     this.#updatePressure();
     this.#peers.check();
     this.#peers.tellLoad();
--- a/packages/sidecar/sidecar_settings.ts
+++ b/packages/sidecar/sidecar_settings.ts
@@ -23,8 +23,6 @@
   readonly heartbeatMs: number;
   /** Time for a graceful stop, in milliseconds. */
   readonly graceMs: number;
-  /** Time within which a configuration must be in force, in milliseconds. */
-  readonly configurationMs: number;
   /** Bound of the repeats that all nodes together send to a service. */
   readonly retries: FleetRetryBound;
 }
--- a/packages/sidecar/store_follower.ts
+++ b/packages/sidecar/store_follower.ts
@@ -48,6 +48,11 @@
     this.#options = options;
   }
 
+  /** Whether the last call to the store failed. */
+  get isAway(): boolean {
+    return this.#isAway;
+  }
+
   /** Time since the store last answered about the configuration. */
   get silentMs(): number {
     return performance.now() - this.#contactAt;
