Repeat no failed call while the services below are overloaded

Ruled out: workers that fail by themselves as the source; their repeats stay, since the pressure of their route is 0.

Change: an answer 500 is repeated only without pressure; the pause that a refused caller is told is logged.

--- a/packages/calling/call_task.ts
+++ b/packages/calling/call_task.ts
@@ -79,6 +79,8 @@
   /** Ways to the workers of a service at present. */
   readonly channels: (service: string) => readonly WorkerChannel[];
   readonly allowance: RetryAllowance;
+  /** Overload of a service, and of those that calls of a route reach. */
+  readonly pressureOf: (service: string, route: string) => number;
   /** Usual size of an answer of a service. */
   readonly answerBytes?: (service: string) => number;
   /** Receives the final outcome once. */
@@ -178,8 +180,12 @@
     this.#receiveFailure(result);
   }
 
+  // While a service further down is overloaded, its refusals are what workers
+  // fail by, and a repeat would only add to its load.
   #isWorthRepeating(status: number): boolean {
-    return this.#request.isIdempotent && status >= 500 && status !== 504;
+    const { isIdempotent, route, service } = this.#request;
+    return isIdempotent && status >= 500 && status !== 504 &&
+      this.#options.pressureOf(service, route) === 0;
   }
 
   #receiveFailure(failure: WorkerFailure): void {
--- a/packages/calling/call_task_test.ts
+++ b/packages/calling/call_task_test.ts
@@ -11,6 +11,7 @@
 interface TaskOptions {
   readonly request?: Partial<CallerRequest>;
   readonly repeats?: number;
+  readonly pressure?: number;
 }
 
 function start(channels: readonly TestChannel[], options: TaskOptions = {}) {
@@ -39,6 +40,7 @@
       constant: () => options.repeats ?? 10,
       windowMs: 10_000,
     }),
+    pressureOf: () => options.pressure ?? 0,
     finish,
   });
   task.start();
@@ -132,3 +134,13 @@
   expect(await start([failing(), sound], { request: unsafe }).result)
     .toMatchObject({ status: 500 });
 });
+
+// Guards against repeats at each level of a chain whose deepest call was
+// refused.
+test("a failed call is not repeated while its services are overloaded", async () => {
+  const failing = new TestChannel("a", always(answered(500)));
+  const sound = new TestChannel("b", always(answered()), { holdMs: 400 });
+  const { result } = start([failing, sound], { pressure: 0.2 });
+  expect(await result).toMatchObject({ status: 500 });
+  expect(sound.calls).toEqual([]);
+});
--- a/packages/calling/caller_edge.ts
+++ b/packages/calling/caller_edge.ts
@@ -112,6 +112,8 @@
   readonly service: string;
   readonly error: ErrorKind;
   readonly status: number;
+  /** Pause that the caller is told where it may come back. */
+  readonly retryAfterMs: number;
   /** Time since the request arrived, in milliseconds. */
   readonly elapsedMs: number;
 }
@@ -309,6 +311,7 @@
       dataCentre: this.#options.dataCentre,
       channels: this.#options.channels,
       allowance: this.#options.allowance,
+      pressureOf: this.#options.pressureOf,
       answerBytes: (service) => this.#answerBytes.get(service) ?? 0,
       finish: (result) => this.#answer(exchange, callerRequest, result),
       ...(this.#options.observer && { observer: this.#options.observer }),
@@ -372,16 +375,17 @@
   ): void {
     const defaults = ERROR_ANSWERS[error];
     const status = details.status ?? defaults.status;
+    const retryAfterMs = details.retryAfterMs ?? defaults.retryAfterMs;
     this.#options.observer?.onRefused({
       requestId: details.requestId ?? "",
       service: details.service ?? "",
       error,
       status,
+      retryAfterMs: Math.round(retryAfterMs),
       elapsedMs: Math.round(performance.now() - arrivedAt),
     });
     if (response.destroyed || response.headersSent) return;
     const text = `${defaults.text}\n`;
-    const retryAfterMs = details.retryAfterMs ?? defaults.retryAfterMs;
     response.writeHead(status, [
       "Content-Type",
       "text/plain",
--- a/packages/sidecar/request_observer.ts
+++ b/packages/sidecar/request_observer.ts
@@ -83,6 +83,7 @@
       service,
       reason,
       status,
+      retry_after_ms: refusal.retryAfterMs,
       elapsed_ms: elapsedMs,
     }));
   }
