--- a/packages/command_line/command_line.ts
+++ b/packages/command_line/command_line.ts
@@ -13,6 +13,7 @@
 import { formatError } from "./command_output.ts";
 import * as changes from "./change_commands.ts";
 import { EXIT_CODE_HELP, EXIT_CODES, type ExitCode } from "./exit_code.ts";
+import { explainRequest } from "./explain_request_command.ts";
 import { load } from "./load_command.ts";
 import * as reads from "./read_commands.ts";
 import * as system from "./system_commands.ts";
@@ -126,11 +127,31 @@
     );
 }
 
+function addExplainRequestCommand(
+  cli: CommandLine,
+  context: () => CommandContext,
+): void {
+  cli.command(
+    "explain-request <identity> <...files>",
+    "Show the path of a request from the logs of nodes; - is the input",
+  )
+    .example((name) => `  $ ${name} explain-request 9dd916508c689b40 *.log`)
+    .action((_identity: string, files: readonly string[]) =>
+      explainRequest(context(), requestIdentity(context().argv), files)
+    );
+}
+
+/** The identity as written, since cac turns texts like 1e5 into numbers. */
+function requestIdentity(argv: readonly string[]): string {
+  return argv[argv.indexOf("explain-request") + 1] ?? "";
+}
+
 function buildCommandLine(context: () => CommandContext): CommandLine {
   const cli = cac("oleanderdeck");
   addDocumentCommands(cli, context);
   addSystemCommands(cli, context);
   addLoadCommand(cli, context);
+  addExplainRequestCommand(cli, context);
   cli.option(
     "--node <ip:port>",
     `Control address of a node (default: ${DEFAULT_NODE})`,
--- a/packages/command_line/command_line_test.ts
+++ b/packages/command_line/command_line_test.ts
@@ -104,6 +104,7 @@
       "explain",
       "rollout",
       "load",
+      "explain-request",
     );
   const recorded = await session([
     "--help",
