Split the sidecar node, the edge and their test fleet

Change: WorkerChannels and KnowledgeExchange are classes of their own, the reading of request headers and the observer of the edge are files of their own, the store in memory is apart from the test fleet. A refusal for want of a route names the request in the log. The time for which a worker is cold was decoded and never used; it is gone. Nothing is decided differently.

--- a/packages/calling/caller_edge.ts
+++ b/packages/calling/caller_edge.ts
@@ -15,30 +15,19 @@
   type HeaderNames,
   rankOfNested,
   rankOfRoot,
-  readHeader,
-  type ReadHeaderOptions,
   type WorkerCall,
 } from "@oleanderdeck/serving";
-import {
-  type CallerRequest,
-  CallTask,
-  type TaskObserver,
-  type TaskResult,
-} from "./call_task.ts";
+import { RequestHeaderReader, timeLimitMs } from "./_request_head.ts";
+import { type CallerRequest, CallTask, type TaskResult } from "./call_task.ts";
+import type { EdgeObserver, NestedCall } from "./edge_observer.ts";
 import type { RetryAllowance } from "./retry_allowance.ts";
 import { RootShedding } from "./root_shedding.ts";
 import { RouteTable } from "./route_table.ts";
 import type { WorkerChannel } from "./worker_channel.ts";
 
-/** Time for which a caller waits that does not state it, in milliseconds. */
-const DEFAULT_TIME_LEFT_MS = 30_000;
-
 /** Latency target of a route that does not state one, in milliseconds. */
 const DEFAULT_LATENCY_TARGET_MS = 1_000;
 
-/** Time before the caller's deadline at which it gets an answer. */
-const ANSWER_MARGIN_MS = 15;
-
 /** Longest body that is copied to be written with the header lines. */
 const MAX_JOINED_BYTES = 16_384;
 
@@ -81,51 +70,12 @@
   readonly observer?: EdgeObserver;
 }
 
-/** Call that the worker makes while it runs a request. */
-export interface NestedCall {
-  /** Route of the request that the worker runs. */
-  readonly parentRoute: string;
-  readonly route: string;
-  readonly service: string;
-}
-
-/** Receives what is decided about requests, for logs and counters. */
-export interface EdgeObserver extends TaskObserver {
-  /** The answer of a worker was passed to the caller. */
-  onAnswered(request: CallerRequest, answer: EdgeAnswer): void;
-  /** The caller got an answer of this node. */
-  onRefused(refusal: EdgeRefusal): void;
-  /** The caller closed its connection before the answer. */
-  onCancelled(request: CallerRequest): void;
-}
-
-/** An answer of a worker. */
-export interface EdgeAnswer {
-  readonly status: number;
-  /** Time since the request arrived, in milliseconds. */
-  readonly elapsedMs: number;
-}
-
-/** A request that got no answer of a worker. */
-export interface EdgeRefusal {
-  readonly requestId: string;
-  readonly service: string;
-  readonly error: ErrorKind;
-  readonly status: number;
-  /** Pause that the caller is told where it may come back. */
-  readonly retryAfterMs: number;
-  /** Time since the request arrived, in milliseconds. */
-  readonly elapsedMs: number;
-}
-
 /** Takes the requests of the callers on this host. */
 export class CallerEdge {
   readonly #options: CallerEdgeOptions;
   readonly #server: Server;
   readonly #shedding = new RootShedding();
-  readonly #requestIdField: string;
-  readonly #timeLeftField: string;
-  readonly #reading: ReadHeaderOptions;
+  readonly #headers: RequestHeaderReader;
   #routes: RouteTable | undefined;
   #limits = INITIAL_LIMITS;
   /** Mean size of the answers of each service, in bytes. */
@@ -138,25 +88,7 @@
   /** @param options Names, workers and the configuration. */
   constructor(options: CallerEdgeOptions) {
     this.#options = options;
-    const { callerService, expectedWorker, requestId, timeLeftMs } =
-      options.names;
-    this.#requestIdField = requestId.toLowerCase();
-    this.#timeLeftField = timeLeftMs.toLowerCase();
-    this.#reading = {
-      wanted: new Set([
-        "host",
-        "content-length",
-        "transfer-encoding",
-        this.#requestIdField,
-        this.#timeLeftField,
-      ]),
-      // This node and the one beside the worker set these fields themselves.
-      dropped: new Set([
-        this.#timeLeftField,
-        callerService.toLowerCase(),
-        expectedWorker.toLowerCase(),
-      ]),
-    };
+    this.#headers = new RequestHeaderReader(options.names);
     this.#server = createServer(
       { maxHeaderSize: INITIAL_LIMITS.maxHeaderBytes, noDelay: true },
       (request, response) => this.#handle(request, response),
@@ -214,35 +146,27 @@
     response.sendDate = false;
     response.once("close", () => this.#unfinished--);
     const exchange: Exchange = { request, response, arrivedAt };
-    const { lines, values } = readHeader(request.rawHeaders, this.#reading);
-    const requestId = values.get(this.#requestIdField);
+    const header = this.#headers.read(request.rawHeaders);
+    const { requestId } = header;
     if (requestId === undefined) {
       return this.#refuse(exchange, "malformed_request");
     }
-    if (this.#routes === undefined) return this.#refuse(exchange, "not_ready");
-    const target = request.url ?? "/";
-    const route = this.#routes.find(values.get("host") ?? "", target);
+    if (this.#routes === undefined) {
+      return this.#refuse(exchange, "not_ready", { requestId });
+    }
+    const route = this.#routes.find(header.host, request.url ?? "/");
     const service = route && this.#routes.nextService(route);
     if (route === undefined || service === undefined) {
-      return this.#refuse(
-        exchange,
-        this.#options.mayBeOutdated() ? "not_ready" : "no_route",
-      );
+      const error = this.#options.mayBeOutdated() ? "not_ready" : "no_route";
+      return this.#refuse(exchange, error, { requestId });
     }
-    const declared = Number(values.get("content-length") ?? 0);
-    if (declared > this.#limits.maxBodyBytes) {
-      return this.#refuse(exchange, "too_large");
+    if (header.bodyBytes > this.#limits.maxBodyBytes) {
+      return this.#refuse(exchange, "too_large", { requestId, service });
     }
-    const head: RequestHead = {
-      route,
-      service,
-      requestId,
-      lines,
-      timeLeft: values.get(this.#timeLeftField),
-    };
-    if (declared === 0 && !values.has("transfer-encoding")) {
-      this.#run(exchange, { ...head, chunks: [] });
-    } else this.#readBody(exchange, head);
+    const { lines, timeLeft } = header;
+    const head: RequestHead = { route, service, requestId, lines, timeLeft };
+    if (header.hasBody) this.#readBody(exchange, head);
+    else this.#run(exchange, { ...head, chunks: [] });
   }
 
   #readBody(exchange: Exchange, head: RequestHead): void {
@@ -429,14 +353,3 @@
   readonly status?: number;
   readonly retryAfterMs?: number;
 }
-
-function timeLimitMs(route: Route, stated: string | undefined): number {
-  const callers = Number(stated);
-  const patience = Number.isFinite(callers) && callers > 0
-    ? callers
-    : DEFAULT_TIME_LEFT_MS;
-  return Math.max(
-    1,
-    Math.min(patience - ANSWER_MARGIN_MS, route.timeoutMs ?? Infinity),
-  );
-}
--- a/packages/calling/mod.ts
+++ b/packages/calling/mod.ts
@@ -7,6 +7,7 @@
 
 export * from "./call_task.ts";
 export * from "./caller_edge.ts";
+export * from "./edge_observer.ts";
 export * from "./local_channel.ts";
 export * from "./peer_channel.ts";
 export * from "./retry_allowance.ts";
--- a/packages/serving/worker_gate_test.ts
+++ b/packages/serving/worker_gate_test.ts
@@ -35,7 +35,6 @@
       slots,
       state,
       sequence,
-      coldRemainingMs: 0,
       startedAt: 1,
     });
   state("ready", 1);
--- a/packages/serving/worker_state.ts
+++ b/packages/serving/worker_state.ts
@@ -7,8 +7,6 @@
   readonly state: "ready" | "draining";
   /** Counts the statements of one incarnation. */
   readonly sequence: number;
-  /** How much longer the worker is slow after its start, in milliseconds. */
-  readonly coldRemainingMs: number;
   /** Wall-clock time of the worker's start in milliseconds since 1970. */
   readonly startedAt: number | undefined;
 }
--- a/packages/serving/worker_state_test.ts
+++ b/packages/serving/worker_state_test.ts
@@ -9,7 +9,6 @@
     slots: 4,
     state: "ready",
     sequence: 1,
-    coldRemainingMs: 0,
     startedAt: 1_000,
     ...change,
   };
--- /dev/null
+++ b/packages/sidecar/knowledge_exchange.ts
@@ -0,0 +1,76 @@
+import type {
+  Configuration,
+  ConfigurationHolder,
+  StoredRecord,
+  WorkerDirectory,
+} from "@oleanderdeck/directory";
+import type { Frame } from "@oleanderdeck/hop";
+
+/** Time for the store to tell a version before a peer is asked for it. */
+const PEER_CONFIGURATION_DELAY_MS = 300;
+
+/** What one node passes on to another that cannot reach the store. */
+interface Knowledge {
+  readonly configuration: Configuration | undefined;
+  readonly records: readonly StoredRecord[];
+}
+
+/** Peer that frames can be sent to. */
+export interface FrameSink {
+  send(frame: Frame): void;
+}
+
+/** Options of {@linkcode KnowledgeExchange}. */
+export interface KnowledgeExchangeOptions {
+  readonly configuration: ConfigurationHolder;
+  readonly directory: WorkerDirectory;
+  /** Called after a peer has told what it knows. */
+  readonly onLearned: () => void;
+}
+
+/**
+ * Passes the configuration and the records of workers between nodes, for those
+ * that cannot reach the platform's store or hear of a version late.
+ */
+export class KnowledgeExchange {
+  readonly #options: KnowledgeExchangeOptions;
+
+  /** @param options What is passed on. */
+  constructor(options: KnowledgeExchangeOptions) {
+    this.#options = options;
+  }
+
+  /** Asks a peer for what it knows if its configuration stays the newer one. */
+  compareVersion(version: number, peer: FrameSink): void {
+    const { configuration } = this.#options;
+    if (version <= configuration.version) return;
+    const delay = configuration.version === 0 ? 0 : PEER_CONFIGURATION_DELAY_MS;
+    setTimeout(() => {
+      if (version > configuration.version) {
+        peer.send({ kind: "knowledge_request" });
+      }
+    }, delay);
+  }
+
+  /** Tells a peer what this node knows. */
+  tell(peer: FrameSink): void {
+    const { configuration, directory } = this.#options;
+    const knowledge: Knowledge = {
+      configuration: configuration.current,
+      records: directory.records,
+    };
+    const body = Buffer.from(JSON.stringify(knowledge));
+    peer.send({ kind: "knowledge", body });
+  }
+
+  /** Takes what a peer knows, where it is newer. */
+  learn(body: Buffer): void {
+    const { configuration, directory, onLearned } = this.#options;
+    const knowledge = JSON.parse(body.toString("utf8")) as Knowledge;
+    if (knowledge.configuration !== undefined) {
+      configuration.put(knowledge.configuration);
+    }
+    knowledge.records.forEach((stored) => directory.put(stored));
+    onLearned();
+  }
+}
--- a/packages/sidecar/mod.ts
+++ b/packages/sidecar/mod.ts
@@ -5,8 +5,11 @@
  * @module
  */
 
+export * from "./call_graph.ts";
+export * from "./knowledge_exchange.ts";
 export * from "./peer_server.ts";
 export * from "./request_observer.ts";
 export * from "./sidecar_node.ts";
 export * from "./sidecar_settings.ts";
 export * from "./store_follower.ts";
+export * from "./worker_channels.ts";
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -1,22 +1,17 @@
 import {
   CallerEdge,
   LocalChannel,
-  PeerChannel,
   RetryAllowance,
-  type WorkerChannel,
 } from "@oleanderdeck/calling";
 import {
-  type Configuration,
   ConfigurationHolder,
   type PlatformRecords,
-  type StoredRecord,
   WorkerDirectory,
   type WorkerRecord,
 } from "@oleanderdeck/directory";
 import type {
   Frame,
   HelloFrame,
-  Link,
   LoadReport,
   RoutePressure,
 } from "@oleanderdeck/hop";
@@ -30,17 +25,16 @@
   WorkerTracker,
 } from "@oleanderdeck/serving";
 import { CallGraph } from "./call_graph.ts";
+import { type FrameSink, KnowledgeExchange } from "./knowledge_exchange.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { RequestObserver } from "./request_observer.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
 import { StoreFollower } from "./store_follower.ts";
+import { WorkerChannels } from "./worker_channels.ts";
 
 /** Time between two checks of links and load, in milliseconds. */
 const TICK_MS = 250;
 
-/** Time for the store to tell a version before a peer is asked for it. */
-const PEER_CONFIGURATION_DELAY_MS = 300;
-
 /** Share of the process's memory that request bodies may use. */
 const HELD_BODIES_SHARE = 0.3;
 
@@ -77,12 +71,6 @@
   readonly observer?: RequestObserver;
 }
 
-/** What one node passes on to another that cannot reach the store. */
-interface Knowledge {
-  readonly configuration: Configuration | undefined;
-  readonly records: readonly StoredRecord[];
-}
-
 /**
  * Node beside one worker: takes the requests that begin on its host, carries
  * them to the nodes beside the workers that run them, and is the only way to
@@ -98,9 +86,8 @@
   readonly #edge: CallerEdge;
   readonly #peers: PeerServer;
   readonly #store: StoreFollower;
-  readonly #local: LocalChannel;
-  readonly #channels = new Map<string, PeerChannel>();
-  readonly #channelsByService = new Map<string, readonly WorkerChannel[]>();
+  readonly #channels: WorkerChannels;
+  readonly #knowledge: KnowledgeExchange;
   readonly #meter = new OverloadMeter();
   readonly #graph = new CallGraph();
   #pressure = 0;
@@ -123,11 +110,22 @@
       connections: this.#connections,
       names,
     });
-    this.#local = new LocalChannel({
-      node: settings.node,
-      dataCentre: settings.dataCentre,
-      gate: this.#gate,
-      load: () => this.#load(),
+    this.#knowledge = new KnowledgeExchange({
+      configuration: this.#configuration,
+      directory: this.#directory,
+      onLearned: () => this.#adoptOwnRecord(this.#directory.get(settings.node)),
+    });
+    this.#channels = new WorkerChannels({
+      directory: this.#directory,
+      local: new LocalChannel({
+        node: settings.node,
+        dataCentre: settings.dataCentre,
+        gate: this.#gate,
+        load: () => this.#load(),
+      }),
+      hello: () => this.#hello(),
+      onFrame: (frame, channel) => this.#receive(frame, channel),
+      log,
     });
     this.#peers = new PeerServer({
       service: settings.service,
@@ -149,8 +147,8 @@
           Math.max(1, this.#directory.size),
         windowMs: settings.retries.windowMs,
       }),
-      channels: (service) => this.#channelsOf(service),
-      pressureOf: (service, route) => this.#pressureOf(service, route),
+      channels: (service) => this.#channels.of(service),
+      pressureOf: (service, route) => this.#channels.pressureOf(service, route),
       onNestedCall: (call) => this.#graph.note(call),
       maxHeldBytes: () =>
         this.#settings.memoryMb * 1024 * 1024 * HELD_BODIES_SHARE,
@@ -175,13 +173,12 @@
       "configuration_version",
       () => this.#configuration.version,
     );
-    this.#directory.onChange((node) => this.#followRecord(node));
     this.#tracker.onChange(() => this.#publish());
     this.#configuration.onChange(({ version }) => {
       log.write("info", "configuration_taken", { version });
       const frame = { kind: "version", configurationVersion: version } as const;
       this.#peers.broadcast(frame);
-      this.#channels.forEach((channel) => channel.send(frame));
+      this.#channels.broadcast(frame);
     });
   }
 
@@ -256,7 +253,7 @@
     this.#store.close();
     this.#edge.close();
     this.#peers.close();
-    this.#channels.forEach((channel) => channel.close());
+    this.#channels.close();
     this.#connections.close();
     this.#options.log.write("info", "node_stopped", { node });
   }
@@ -277,21 +274,11 @@
     this.#meter.update(this.#gate.takeInterval());
     this.#pressure = Math.round(this.#meter.pressure * 100) / 100;
     this.#routePressures = this.#graph.pressures(
-      (service, route) => this.#pressureOf(service, route),
+      (service, route) => this.#channels.pressureOf(service, route),
       this.#pressure,
     );
   }
 
-  // A service has room while one of its workers has.
-  #pressureOf(service: string, route: string): number {
-    let least = Infinity;
-    for (const { load } of this.#channelsOf(service)) {
-      if (load === undefined || load.slots === 0) continue;
-      least = Math.min(least, pressureFor(load, route));
-    }
-    return least === Infinity ? 0 : least;
-  }
-
   #hello(): HelloFrame {
     const { node, service } = this.#options.settings;
     return {
@@ -303,49 +290,20 @@
     };
   }
 
-  #receive(frame: Frame, peer: Link | PeerChannel): void {
+  #receive(frame: Frame, peer: FrameSink): void {
     switch (frame.kind) {
       case "hello":
-        this.#channels.get(frame.node)?.reopen();
-        return this.#compareVersion(frame.configurationVersion, peer);
+        this.#channels.reopen(frame.node);
+        return this.#knowledge.compareVersion(frame.configurationVersion, peer);
       case "version":
-        return this.#compareVersion(frame.configurationVersion, peer);
+        return this.#knowledge.compareVersion(frame.configurationVersion, peer);
       case "knowledge_request":
-        return peer.send({ kind: "knowledge", body: this.#knowledge() });
+        return this.#knowledge.tell(peer);
       case "knowledge":
-        return this.#learn(
-          JSON.parse(frame.body.toString("utf8")) as Knowledge,
-        );
+        return this.#knowledge.learn(frame.body);
     }
   }
 
-  #compareVersion(version: number, peer: Link | PeerChannel): void {
-    if (version <= this.#configuration.version) return;
-    const delay = this.#configuration.version === 0
-      ? 0
-      : PEER_CONFIGURATION_DELAY_MS;
-    setTimeout(() => {
-      if (version > this.#configuration.version) {
-        peer.send({ kind: "knowledge_request" });
-      }
-    }, delay);
-  }
-
-  #knowledge(): Buffer {
-    const knowledge: Knowledge = {
-      configuration: this.#configuration.current,
-      records: this.#directory.records,
-    };
-    return Buffer.from(JSON.stringify(knowledge));
-  }
-
-  #learn({ configuration, records }: Knowledge): void {
-    if (configuration !== undefined) this.#configuration.put(configuration);
-    records.forEach((stored) => this.#directory.put(stored));
-    const { node } = this.#options.settings;
-    this.#adoptOwnRecord(this.#directory.get(node));
-  }
-
   #adoptOwnRecord(record: WorkerRecord | undefined): void {
     if (record === undefined) return;
     if (record.service !== this.#options.settings.service) return;
@@ -380,68 +338,15 @@
     }
   }
 
-  #followRecord(node: string): void {
-    this.#channelsByService.clear();
-    if (node === this.#options.settings.node) return;
-    const record = this.#directory.get(node);
-    const channel = this.#channels.get(node);
-    if (channel !== undefined && !channel.matches(record)) {
-      this.#channels.delete(node);
-      channel.close();
-    }
-  }
-
-  #channelsOf(service: string): readonly WorkerChannel[] {
-    const known = this.#channelsByService.get(service);
-    if (known !== undefined) return known;
-    const { node } = this.#options.settings;
-    const channels = this.#directory.ofService(service).map((record) =>
-      record.node === node ? this.#local : this.#channelTo(record)
-    );
-    this.#channelsByService.set(service, channels);
-    return channels;
-  }
-
-  #channelTo(
-    { node, address, dataCentre, service }: WorkerRecord,
-  ): PeerChannel {
-    const known = this.#channels.get(node);
-    if (known !== undefined) return known;
-    const channel = new PeerChannel({
-      node,
-      address,
-      dataCentre,
-      service,
-      hello: () => this.#hello(),
-      onFrame: (frame, peer) => this.#receive(frame, peer),
-      onLink: ({ isOpen, node, reason, lostCalls }) =>
-        this.#options.log.write("info", isOpen ? "link_opened" : "link_lost", {
-          peer: node,
-          reason,
-          lost_calls: lostCalls,
-        }),
-    });
-    this.#channels.set(node, channel);
-    return channel;
-  }
-
   #check(): void {
     this.#checkWorker();
     this.#updatePressure();
     this.#peers.check();
     this.#peers.tellLoad();
-    this.#channels.forEach((channel) => {
-      channel.check();
-      if (!channel.isReachable) channel.open();
-    });
+    this.#channels.check();
   }
 }
 
-function pressureFor(load: LoadReport, route: string): number {
-  const found = load.routePressures.find(([name]) => name === route);
-  return found === undefined ? load.pressure : found[1];
-}
-
 function pause(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- /dev/null
+++ b/packages/sidecar/worker_channels.ts
@@ -0,0 +1,116 @@
+import {
+  type LocalChannel,
+  PeerChannel,
+  type WorkerChannel,
+} from "@oleanderdeck/calling";
+import type { WorkerDirectory, WorkerRecord } from "@oleanderdeck/directory";
+import type { Frame, HelloFrame, LoadReport } from "@oleanderdeck/hop";
+import type { EventLog } from "@oleanderdeck/observability";
+
+/** Options of {@linkcode WorkerChannels}. */
+export interface WorkerChannelsOptions {
+  readonly directory: WorkerDirectory;
+  /** Way to the worker of this host. */
+  readonly local: LocalChannel;
+  /** First frame for a peer. */
+  readonly hello: () => HelloFrame;
+  /** Takes frames that do not concern calls. */
+  readonly onFrame: (frame: Frame, channel: PeerChannel) => void;
+  readonly log: EventLog;
+}
+
+/** Ways to the workers of all services, opened when they are first used. */
+export class WorkerChannels {
+  readonly #options: WorkerChannelsOptions;
+  readonly #peers = new Map<string, PeerChannel>();
+  readonly #byService = new Map<string, readonly WorkerChannel[]>();
+
+  /** @param options Directory, own channel and receivers of events. */
+  constructor(options: WorkerChannelsOptions) {
+    this.#options = options;
+    options.directory.onChange((node) => this.#follow(node));
+  }
+
+  /** Ways to the workers of a service. */
+  of(service: string): readonly WorkerChannel[] {
+    const known = this.#byService.get(service);
+    if (known !== undefined) return known;
+    const { directory, local } = this.#options;
+    const channels = directory.ofService(service).map((record) =>
+      record.node === local.node ? local : this.#to(record)
+    );
+    this.#byService.set(service, channels);
+    return channels;
+  }
+
+  /**
+   * Overload that the calls of a route to a service reach, 0 to 1. A service
+   * has room while one of its workers has.
+   */
+  pressureOf(service: string, route: string): number {
+    let least = Infinity;
+    for (const { load } of this.of(service)) {
+      if (load === undefined || load.slots === 0) continue;
+      least = Math.min(least, pressureFor(load, route));
+    }
+    return least === Infinity ? 0 : least;
+  }
+
+  /** Opens the lost link to a peer that has shown that it runs. */
+  reopen(node: string): void {
+    this.#peers.get(node)?.reopen();
+  }
+
+  /** Sends a frame on all open links. */
+  broadcast(frame: Frame): void {
+    this.#peers.forEach((channel) => channel.send(frame));
+  }
+
+  /** Checks all links and opens lost ones again. */
+  check(): void {
+    this.#peers.forEach((channel) => {
+      channel.check();
+      if (!channel.isReachable) channel.open();
+    });
+  }
+
+  /** Ends all links and the calls on them. */
+  close(): void {
+    this.#peers.forEach((channel) => channel.close());
+  }
+
+  #follow(node: string): void {
+    this.#byService.clear();
+    const channel = this.#peers.get(node);
+    if (channel?.matches(this.#options.directory.get(node)) !== false) return;
+    this.#peers.delete(node);
+    channel.close();
+  }
+
+  #to({ node, address, dataCentre, service }: WorkerRecord): PeerChannel {
+    const known = this.#peers.get(node);
+    if (known !== undefined) return known;
+    const { hello, log, onFrame } = this.#options;
+    const channel = new PeerChannel({
+      node,
+      address,
+      dataCentre,
+      service,
+      hello,
+      onFrame,
+      onLink: ({ isOpen, node, reason, lostCalls }) =>
+        log.write("info", isOpen ? "link_opened" : "link_lost", {
+          peer: node,
+          reason,
+          lost_calls: lostCalls,
+        }),
+    });
+    this.#peers.set(node, channel);
+    return channel;
+  }
+}
+
+function pressureFor(load: LoadReport, route: string): number {
+  const found = load.routePressures.find(([name]) => name === route);
+  return found === undefined ? load.pressure : found[1];
+}
