Take no other node's part of the retry bound at a start

A node that has just started knows few others and took their parts of the constant, and calls of repeated menus runs, four each at members, count there.

Change: without another known node the constant is 0, and half of the fleet's bound is used in place of 0.7.

--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -42,7 +42,7 @@
  * Part of the fleet's retry bound that is used. The rest covers repeats whose
  * cause a restarted node no longer knows.
  */
-const OWN_RETRY_SHARE = 0.7;
+const OWN_RETRY_SHARE = 0.5;
 
 /** Time without requests that shows that callers have left, in milliseconds. */
 const QUIET_MS = 600;
@@ -142,9 +142,7 @@
       configuration: this.#configuration,
       allowance: new RetryAllowance({
         ratio: () => OWN_RETRY_SHARE * this.#settings.retries.ratio,
-        constant: () =>
-          OWN_RETRY_SHARE * this.#settings.retries.constant /
-          Math.max(1, this.#directory.size),
+        constant: () => this.#ownRetryConstant(),
         windowMs: settings.retries.windowMs,
       }),
       channels: (service) => this.#channels.of(service),
@@ -258,6 +256,14 @@
     this.#options.log.write("info", "node_stopped", { node });
   }
 
+  // A node that has just started knows few others and must not take their part.
+  #ownRetryConstant(): number {
+    const { size } = this.#directory;
+    return size < 2
+      ? 0
+      : OWN_RETRY_SHARE * this.#settings.retries.constant / size;
+  }
+
   #isIdle(): boolean {
     return this.#edge.unfinished === 0 && this.#gate.unfinished === 0;
   }
