Find a route by the slashes of a path

Cause: a configuration of 357 routes on one host was searched route by route for each request.

Change: routes of a host are kept by prefix; a path is looked up from its last slash to its first. The first of two routes with one prefix is used, as before.

Ruled out with it, and not kept: workers compared by the hold time of the call's route, told in load frames.

--- a/packages/calling/route_table.ts
+++ b/packages/calling/route_table.ts
@@ -9,18 +9,19 @@
 
 /** Finds the route of a request and deals split routes by weight. */
 export class RouteTable {
-  readonly #byHost = new Map<string, Route[]>();
+  /** Routes of each host by their path prefixes. */
+  readonly #byHost = new Map<string, Map<string, Route>>();
   readonly #credits = new Map<string, readonly ShareCredit[]>();
 
   /** @param configuration Configuration whose routes are used. */
   constructor(configuration: Configuration) {
     for (const route of configuration.routes) {
-      const routes = this.#byHost.get(route.host);
-      if (routes === undefined) this.#byHost.set(route.host, [route]);
-      else routes.push(route);
-    }
-    for (const routes of this.#byHost.values()) {
-      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+      let routes = this.#byHost.get(route.host);
+      if (routes === undefined) {
+        routes = new Map();
+        this.#byHost.set(route.host, routes);
+      }
+      if (!routes.has(route.pathPrefix)) routes.set(route.pathPrefix, route);
     }
   }
 
@@ -33,9 +34,16 @@
   find(host: string, target: string): Route | undefined {
     const name = host.split(":", 1)[0]!.toLowerCase();
     const path = target.split("?", 1)[0]!;
-    return this.#byHost.get(name)?.find(({ pathPrefix }) =>
-      path.startsWith(pathPrefix)
-    );
+    const routes = this.#byHost.get(name);
+    if (routes === undefined) return undefined;
+    // Every prefix ends with a slash, so a path has few that can match.
+    let end = path.lastIndexOf("/");
+    while (end >= 0) {
+      const route = routes.get(path.slice(0, end + 1));
+      if (route !== undefined) return route;
+      end = end === 0 ? -1 : path.lastIndexOf("/", end - 1);
+    }
+    return undefined;
   }
 
   /**
--- a/packages/calling/routing_test.ts
+++ b/packages/calling/routing_test.ts
@@ -47,6 +47,16 @@
   expect(routes.find("other.example", "/a/")).toBeUndefined();
 });
 
+test("the first of two routes with one prefix is used", () => {
+  const routes = table([
+    route("/", menus),
+    route("/a/", menus),
+    { ...route("/a/", menus), name: "later" },
+  ]);
+  expect(routes.find("menus.example", "/a/b")?.name).toBe("/a/");
+  expect(routes.find("menus.example", "/b")?.name).toBe("/");
+});
+
 test("a split is exact over any run of requests", () => {
   const split = route("/a/", [
     { service: "menus", weight: 90 },
