Pass a worker's own failure on when a repeat gives no more, and log it

Cause: an idempotent request whose worker answered 500 was repeated, and ended as 502 or 503 of the node when no other worker was left or the repeat was lost; the signed answer was dropped. The log had no line for a worker's own failure outside the sample, and a refusal did not name the worker, so the way from a request's id to its cause ended there.

Ruled out: counting such a request as not run; its first worker ran it.

Change: the failed answer is kept and passed on; event request_failed; worker in request_failed, request_answered and request_refused. Golden files hold the decisions of four requests. The writing of answers moved from caller_edge.ts to _answer_writer.ts, pause to one file.

Before, after: two new tests of call_task_test failed, pass; the golden file of the repeated request had no line for its end.

--- /dev/null
+++ b/packages/calling/_answer_writer.ts
@@ -0,0 +1,111 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { ERROR_ANSWERS, type ErrorKind } from "@oleanderdeck/errors";
+import type { CallerRequest, TaskAnswer } from "./call_task.ts";
+import type { EdgeObserver } from "./edge_observer.ts";
+
+/** Longest body that is copied to be written with the header lines. */
+const MAX_JOINED_BYTES = 16_384;
+
+/** One request on a caller's connection. */
+export interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Time of the process at which the header was complete. */
+  readonly arrivedAt: number;
+}
+
+/** What is known of a request that gets an answer of this node. */
+export interface RefusalDetails {
+  readonly requestId?: string;
+  readonly service?: string;
+  readonly worker?: string;
+  readonly status?: number;
+  readonly retryAfterMs?: number;
+}
+
+/** Options of {@linkcode AnswerWriter}. */
+export interface AnswerWriterOptions {
+  /** Name of the header field with the identity of a request. */
+  readonly requestIdField: string;
+  readonly observer: EdgeObserver | undefined;
+}
+
+/** Writes answers to callers, and tells them to leave while the node stops. */
+export class AnswerWriter {
+  readonly #options: AnswerWriterOptions;
+  #isClosing = false;
+
+  /** @param options Header name and receiver of decisions. */
+  constructor(options: AnswerWriterOptions) {
+    this.#options = options;
+  }
+
+  /** Asks callers to open no more requests on their connections. */
+  startClosing(): void {
+    this.#isClosing = true;
+  }
+
+  /** Passes the answer of a worker on. */
+  pass(
+    { response, arrivedAt }: Exchange,
+    request: CallerRequest,
+    answer: TaskAnswer,
+  ): void {
+    const { body, headers, status, worker } = answer;
+    this.#options.observer?.onAnswered(request, {
+      status,
+      worker,
+      elapsedMs: Math.round(performance.now() - arrivedAt),
+    });
+    if (response.destroyed) return;
+    response.writeHead(status, [
+      ...headers,
+      this.#options.requestIdField,
+      request.requestId,
+      "Content-Length",
+      String(body.length),
+      ...this.#closingLines(),
+    ]);
+    if (body.length <= MAX_JOINED_BYTES) {
+      // A text is written together with the header lines.
+      response.end(body.toString("latin1"), "latin1");
+    } else response.end(body);
+  }
+
+  /** Answers a request in place of a worker. */
+  refuse(
+    { response, arrivedAt }: Exchange,
+    error: ErrorKind,
+    details: RefusalDetails = {},
+  ): void {
+    const defaults = ERROR_ANSWERS[error];
+    const status = details.status ?? defaults.status;
+    const retryAfterMs = details.retryAfterMs ?? defaults.retryAfterMs;
+    this.#options.observer?.onRefused({
+      requestId: details.requestId ?? "",
+      service: details.service ?? "",
+      worker: details.worker ?? "",
+      error,
+      status,
+      retryAfterMs: Math.round(retryAfterMs),
+      elapsedMs: Math.round(performance.now() - arrivedAt),
+    });
+    if (response.destroyed || response.headersSent) return;
+    const text = `${defaults.text}\n`;
+    response.writeHead(status, [
+      "Content-Type",
+      "text/plain",
+      "Content-Length",
+      String(Buffer.byteLength(text)),
+      ...(status === 503 || status === 429
+        ? ["Retry-After", (retryAfterMs / 1000).toFixed(3)]
+        : []),
+      ...this.#closingLines(),
+    ]);
+    response.end(text);
+  }
+
+  #closingLines(): string[] {
+    return this.#isClosing ? ["Connection", "close"] : [];
+  }
+}
--- a/packages/calling/call_task.ts
+++ b/packages/calling/call_task.ts
@@ -46,6 +46,8 @@
   readonly status: number;
   readonly headers: HeaderLines;
   readonly body: Buffer;
+  /** Node beside the worker that answered. */
+  readonly worker: string;
 }
 
 /** Answer of this node in place of a worker's. */
@@ -54,6 +56,8 @@
   readonly error: ErrorKind;
   readonly status: number;
   readonly retryAfterMs: number;
+  /** Node beside the last worker that was chosen; empty if none was. */
+  readonly worker: string;
 }
 
 /** Final outcome of a request. */
@@ -104,6 +108,8 @@
   #attempts = 0;
   #refusals = 0;
   #mayHaveRun = false;
+  /** Failure of a worker's own, passed on if no other worker gives more. */
+  #failedAnswer: TaskAnswer | undefined;
   #isDone = false;
 
   /**
@@ -170,12 +176,14 @@
   #receive(result: WorkerResult): void {
     if (this.#isDone) return;
     if (result.kind === "answer") {
+      const answer = { ...result, worker: this.#node };
       if (this.#isWorthRepeating(result.status)) {
         this.#mayHaveRun = true;
+        this.#failedAnswer = answer;
         this.#attempts++;
         if (this.#takeRetry("worker_failed")) return this.#send("no_worker");
       }
-      return this.#finish(result);
+      return this.#finish(answer);
     }
     this.#receiveFailure(result);
   }
@@ -221,17 +229,22 @@
       error: "deadline_exceeded",
       status: ERROR_ANSWERS.deadline_exceeded.status,
       retryAfterMs: 0,
+      worker: this.#node,
     });
     ticket?.cancel();
   }
 
   #refuse(error: ErrorKind, retryAfterMs: number): void {
+    if (this.#failedAnswer !== undefined) {
+      return this.#finish(this.#failedAnswer);
+    }
     const kind = this.#mayHaveRun ? lostKind(error) : notRunKind(error);
     this.#finish({
       kind: "refusal",
       error: kind,
       status: this.#mayHaveRun ? 502 : 503,
       retryAfterMs: retryAfterMs || DEFAULT_RETRY_AFTER_MS,
+      worker: this.#node,
     });
   }
 
--- a/packages/calling/call_task_test.ts
+++ b/packages/calling/call_task_test.ts
@@ -54,6 +54,19 @@
   return channels.flatMap(({ calls }) => calls);
 }
 
+// Guards against a worker's own answer that is replaced by one of the node.
+test("a worker's failure is passed on when no other worker is left", async () => {
+  const { result } = start([new TestChannel("a", always(answered(500)))]);
+  expect(await result).toMatchObject({ kind: "answer", status: 500 });
+});
+
+test("a worker's failure is passed on when the repeat is lost", async () => {
+  const failing = new TestChannel("a", always(answered(500)), { holdMs: 5 });
+  const lost = new TestChannel("b", always(LOST), { holdMs: 500 });
+  const { result } = start([failing, lost]);
+  expect(await result).toMatchObject({ kind: "answer", status: 500 });
+});
+
 test("an answer is passed on", async () => {
   const { result } = start([new TestChannel("a", always(answered(201)))]);
   expect(await result).toMatchObject({ kind: "answer", status: 201 });
--- a/packages/calling/caller_edge.ts
+++ b/packages/calling/caller_edge.ts
@@ -5,7 +5,6 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
-import { ERROR_ANSWERS, type ErrorKind } from "@oleanderdeck/errors";
 import type {
   CallerLimits,
   ConfigurationHolder,
@@ -17,6 +16,7 @@
   rankOfRoot,
   type WorkerCall,
 } from "@oleanderdeck/serving";
+import { AnswerWriter, type Exchange } from "./_answer_writer.ts";
 import { RequestHeaderReader, timeLimitMs } from "./_request_head.ts";
 import { type CallerRequest, CallTask, type TaskResult } from "./call_task.ts";
 import type { EdgeObserver, NestedCall } from "./edge_observer.ts";
@@ -28,9 +28,6 @@
 /** Latency target of a route that does not state one, in milliseconds. */
 const DEFAULT_LATENCY_TARGET_MS = 1_000;
 
-/** Longest body that is copied to be written with the header lines. */
-const MAX_JOINED_BYTES = 16_384;
-
 /** Weight of a new answer in the mean size of a service's answers. */
 const ANSWER_SIZE_WEIGHT = 0.05;
 
@@ -75,6 +72,7 @@
   readonly #options: CallerEdgeOptions;
   readonly #server: Server;
   readonly #shedding = new RootShedding();
+  readonly #answers: AnswerWriter;
   readonly #headers: RequestHeaderReader;
   #routes: RouteTable | undefined;
   #limits = INITIAL_LIMITS;
@@ -83,12 +81,15 @@
   #heldBytes = 0;
   #unfinished = 0;
   #lastRequestAt = 0;
-  #isClosing = false;
 
   /** @param options Names, workers and the configuration. */
   constructor(options: CallerEdgeOptions) {
     this.#options = options;
     this.#headers = new RequestHeaderReader(options.names);
+    this.#answers = new AnswerWriter({
+      requestIdField: options.names.requestId,
+      observer: options.observer,
+    });
     this.#server = createServer(
       { maxHeaderSize: INITIAL_LIMITS.maxHeaderBytes, noDelay: true },
       (request, response) => this.#handle(request, response),
@@ -121,7 +122,7 @@
 
   /** Asks callers to open no more requests on their connections. */
   startClosing(): void {
-    this.#isClosing = true;
+    this.#answers.startClosing();
   }
 
   /** Closes the listener and all connections. */
@@ -149,19 +150,22 @@
     const header = this.#headers.read(request.rawHeaders);
     const { requestId } = header;
     if (requestId === undefined) {
-      return this.#refuse(exchange, "malformed_request");
+      return this.#answers.refuse(exchange, "malformed_request");
     }
     if (this.#routes === undefined) {
-      return this.#refuse(exchange, "not_ready", { requestId });
+      return this.#answers.refuse(exchange, "not_ready", { requestId });
     }
     const route = this.#routes.find(header.host, request.url ?? "/");
     const service = route && this.#routes.nextService(route);
     if (route === undefined || service === undefined) {
       const error = this.#options.mayBeOutdated() ? "not_ready" : "no_route";
-      return this.#refuse(exchange, error, { requestId });
+      return this.#answers.refuse(exchange, error, { requestId });
     }
     if (header.bodyBytes > this.#limits.maxBodyBytes) {
-      return this.#refuse(exchange, "too_large", { requestId, service });
+      return this.#answers.refuse(exchange, "too_large", {
+        requestId,
+        service,
+      });
     }
     const { lines, timeLeft } = header;
     const head: RequestHead = { route, service, requestId, lines, timeLeft };
@@ -180,10 +184,10 @@
       if (response.headersSent) return;
       if (length > this.#limits.maxBodyBytes) {
         chunks.length = 0;
-        this.#refuse(exchange, "too_large");
+        this.#answers.refuse(exchange, "too_large");
       } else if (this.#heldBytes > this.#options.maxHeldBytes()) {
         chunks.length = 0;
-        this.#refuse(exchange, "not_ready");
+        this.#answers.refuse(exchange, "not_ready");
       }
     });
     request.once("end", () => {
@@ -207,7 +211,7 @@
       this.#lastRequestAt = arrivedAt;
       const pressure = this.#options.pressureOf(service, route.name);
       if (this.#isShed(route, pressure)) {
-        return this.#refuse(exchange, "downstream_pressure", {
+        return this.#answers.refuse(exchange, "downstream_pressure", {
           requestId,
           service,
           retryAfterMs: SHED_RETRY_AFTER_MS * (1 + Math.random()),
@@ -259,32 +263,17 @@
     result: TaskResult,
   ): void {
     if (result.kind === "answer") {
-      const { response } = exchange;
       this.#noteAnswer(request.service, result.body.length);
-      this.#options.observer?.onAnswered(request, {
-        status: result.status,
-        elapsedMs: Math.round(performance.now() - exchange.arrivedAt),
-      });
-      if (response.destroyed) return;
-      response.writeHead(result.status, [
-        ...result.headers,
-        this.#options.names.requestId,
-        request.requestId,
-        "Content-Length",
-        String(result.body.length),
-        ...this.#closingLines(),
-      ]);
-      if (result.body.length <= MAX_JOINED_BYTES) {
-        // A text is written together with the header lines.
-        response.end(result.body.toString("latin1"), "latin1");
-      } else response.end(result.body);
-      return;
+      return this.#answers.pass(exchange, request, result);
     }
-    this.#refuse(exchange, result.error, {
-      requestId: request.requestId,
-      service: request.service,
-      status: result.status,
-      retryAfterMs: result.retryAfterMs,
+    const { error, retryAfterMs, status, worker } = result;
+    const { requestId, service } = request;
+    this.#answers.refuse(exchange, error, {
+      requestId,
+      service,
+      worker,
+      status,
+      retryAfterMs,
     });
   }
 
@@ -293,47 +282,6 @@
     const next = mean + ANSWER_SIZE_WEIGHT * (bytes - mean);
     this.#answerBytes.set(service, next);
   }
-
-  #refuse(
-    { response, arrivedAt }: Exchange,
-    error: ErrorKind,
-    details: RefusalDetails = {},
-  ): void {
-    const defaults = ERROR_ANSWERS[error];
-    const status = details.status ?? defaults.status;
-    const retryAfterMs = details.retryAfterMs ?? defaults.retryAfterMs;
-    this.#options.observer?.onRefused({
-      requestId: details.requestId ?? "",
-      service: details.service ?? "",
-      error,
-      status,
-      retryAfterMs: Math.round(retryAfterMs),
-      elapsedMs: Math.round(performance.now() - arrivedAt),
-    });
-    if (response.destroyed || response.headersSent) return;
-    const text = `${defaults.text}\n`;
-    response.writeHead(status, [
-      "Content-Type",
-      "text/plain",
-      "Content-Length",
-      String(Buffer.byteLength(text)),
-      ...(status === 503 || status === 429
-        ? ["Retry-After", (retryAfterMs / 1000).toFixed(3)]
-        : []),
-      ...this.#closingLines(),
-    ]);
-    response.end(text);
-  }
-
-  #closingLines(): string[] {
-    return this.#isClosing ? ["Connection", "close"] : [];
-  }
-}
-
-interface Exchange {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly arrivedAt: number;
 }
 
 interface RequestHead {
@@ -348,10 +296,3 @@
 interface RequestParts extends RequestHead {
   readonly chunks: readonly Buffer[];
 }
-
-interface RefusalDetails {
-  readonly requestId?: string;
-  readonly service?: string;
-  readonly status?: number;
-  readonly retryAfterMs?: number;
-}
--- a/packages/calling/edge_observer.ts
+++ b/packages/calling/edge_observer.ts
@@ -22,6 +22,8 @@
 /** An answer of a worker. */
 export interface EdgeAnswer {
   readonly status: number;
+  /** Node beside the worker that answered. */
+  readonly worker: string;
   /** Time since the request arrived, in milliseconds. */
   readonly elapsedMs: number;
 }
@@ -30,6 +32,8 @@
 export interface EdgeRefusal {
   readonly requestId: string;
   readonly service: string;
+  /** Node beside the last worker that was chosen; empty if none was. */
+  readonly worker: string;
   readonly error: ErrorKind;
   readonly status: number;
   /** Pause that the caller is told where it may come back. */
--- a/packages/command_line/explain_request_command.ts
+++ b/packages/command_line/explain_request_command.ts
@@ -9,7 +9,12 @@
 const STANDARD_INPUT = "-";
 
 /** Events that end a request or a call without a worker's answer. */
-const FAILURE_EVENTS = ["call_refused", "call_failed", "request_refused"];
+const FAILURE_EVENTS = [
+  "call_refused",
+  "call_failed",
+  "request_failed",
+  "request_refused",
+];
 
 /** One line of a log that concerns a request. */
 export interface RequestLine {
--- a/packages/observability/request_log.ts
+++ b/packages/observability/request_log.ts
@@ -15,6 +15,10 @@
     isFailure: false,
     text: "The worker's answer was passed to the caller",
   },
+  request_failed: {
+    isFailure: true,
+    text: "The worker's answer, a failure of its own, was passed to the caller",
+  },
   request_refused: {
     isFailure: true,
     text: "The caller got an answer of this node, with the reason",
--- /dev/null
+++ b/packages/sidecar/decision_log_test.ts
@@ -0,0 +1,103 @@
+import { afterEach, beforeEach, expect, test } from "vitest";
+import xxhash from "xxhash-wasm";
+import { TestFleet, type TestHost } from "./_test_fleet.ts";
+
+// Decisions about a request as its nodes log them, compared with a file. To
+// accept a change run
+// `npx vitest run packages/sidecar/decision_log_test.ts -u`.
+
+/** Fields that say what was decided; the others hold times and counts. */
+const DECISION_FIELDS = [
+  "service",
+  "worker",
+  "reason",
+  "status",
+  "may_have_run",
+];
+
+/** One in this many identities is logged when its request goes well. */
+const SAMPLE_MODULUS = 64;
+
+let fleet: TestFleet;
+beforeEach(() => void (fleet = new TestFleet()));
+afterEach(() => fleet.close());
+
+const route = (service: string, priority: number) => ({
+  name: service,
+  priority,
+  shares: [{ service, weight: 1 }],
+});
+
+async function started(...services: readonly string[]): Promise<TestHost[]> {
+  fleet.configure(1, services.map(route));
+  const hosts: TestHost[] = [];
+  for (const [index, service] of services.entries()) {
+    hosts.push(await fleet.add(`host-${index}`, service));
+  }
+  await expect.poll(() => fleet.store.entries.size).toBe(services.length);
+  for (const host of hosts) {
+    for (const service of services) {
+      await expect.poll(async () =>
+        (await fleet.call(host, `/${service}/warm`)).status
+      ).toBe(200);
+    }
+  }
+  return hosts;
+}
+
+async function sampledIdentity(prefix: string): Promise<string> {
+  const { h32 } = await xxhash();
+  let count = 0;
+  while (h32(`${prefix}${count}`) % SAMPLE_MODULUS !== 0) count++;
+  return `${prefix}${count}`;
+}
+
+function decisions(requestId: string): string {
+  const lines = fleet.lines.filter((line) =>
+    line.includes(` request=${requestId} `)
+  );
+  return lines.map((line) => {
+    const fields = new Map(
+      line.trim().split(" ").map((pair) =>
+        pair.split("=", 2) as [string, string]
+      ),
+    );
+    const told = DECISION_FIELDS.filter((name) => fields.has(name))
+      .map((name) => ` ${name}=${fields.get(name)}`);
+    return `${fields.get("event")}${told.join("")}\n`;
+  }).join("");
+}
+
+async function expectDecisions(name: string, requestId: string): Promise<void> {
+  await expect(decisions(requestId))
+    .toMatchFileSnapshot(`../../golden/decisions_${name}.txt`);
+}
+
+test("decisions of a request that is answered", async () => {
+  const [caller] = await started("menus", "members");
+  const id = await sampledIdentity("answered");
+  await fleet.call(caller!, "/members/1", { id });
+  await expectDecisions("answered", id);
+});
+
+test("decisions of a request that is repeated", async () => {
+  const [caller, server] = await started("menus", "members");
+  server!.worker.status = 500;
+  await fleet.call(caller!, "/members/1", { id: "repeated1" });
+  await expectDecisions("repeated", "repeated1");
+});
+
+test("decisions of a request that finds no worker", async () => {
+  const [caller, server] = await started("menus", "members");
+  fleet.state(server!, "draining");
+  await fleet.call(caller!, "/members/1", { id: "refused1" });
+  await expectDecisions("refused", "refused1");
+});
+
+test("decisions of a request that is late", async () => {
+  const [caller, server] = await started("menus", "members");
+  server!.worker.holdMs = 600;
+  await fleet.call(caller!, "/members/1", { id: "late1", timeLeftMs: 200 });
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  await expectDecisions("late", "late1");
+});
--- a/packages/sidecar/request_observer.ts
+++ b/packages/sidecar/request_observer.ts
@@ -68,8 +68,10 @@
       rank,
       outcome: `${Math.floor(answer.status / 100)}xx`,
     });
-    requests.write("request_answered", requestId, () => ({
+    const event = answer.status >= 500 ? "request_failed" : "request_answered";
+    requests.write(event, requestId, () => ({
       service,
+      worker: answer.worker,
       status: answer.status,
       elapsed_ms: answer.elapsedMs,
     }));
@@ -81,6 +83,7 @@
     metrics.count("refusals", { reason, service });
     requests.write("request_refused", requestId, () => ({
       service,
+      ...(refusal.worker !== "" && { worker: refusal.worker }),
       reason,
       status,
       retry_after_ms: refusal.retryAfterMs,
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -24,6 +24,7 @@
   type WorkerStatement,
   WorkerTracker,
 } from "@oleanderdeck/serving";
+import { pause } from "./_pause.ts";
 import { CallGraph } from "./call_graph.ts";
 import { type FrameSink, KnowledgeExchange } from "./knowledge_exchange.ts";
 import { PeerServer } from "./peer_server.ts";
@@ -348,7 +349,3 @@
     this.#channels.check();
   }
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/sidecar/store_follower.ts
+++ b/packages/sidecar/store_follower.ts
@@ -6,6 +6,7 @@
   type WorkerRecord,
 } from "@oleanderdeck/directory";
 import type { EventLog } from "@oleanderdeck/observability";
+import { pause } from "./_pause.ts";
 
 /** Longest time that one watch waits, in milliseconds. */
 const WATCH_WAIT_MS = 10_000;
@@ -236,7 +237,3 @@
   const longest = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** failures);
   return longest * (0.5 + Math.random() / 2);
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
