--- a/packages/calling/_request_head.ts
+++ b/packages/calling/_request_head.ts
@@ -8,6 +8,9 @@
 /** Time for which a caller waits that does not state it, in milliseconds. */
 const DEFAULT_TIME_LEFT_MS = 30_000;
 
+/** Longest time for which a caller is taken to wait, in milliseconds. */
+const MAX_TIME_LEFT_MS = 3_600_000;
+
 /** Time before the caller's deadline at which it gets an answer. */
 const ANSWER_MARGIN_MS = 15;
 
@@ -77,7 +80,7 @@
 export function timeLimitMs(route: Route, stated: string | undefined): number {
   const callers = Number(stated);
   const patience = Number.isFinite(callers) && callers > 0
-    ? callers
+    ? Math.min(callers, MAX_TIME_LEFT_MS)
     : DEFAULT_TIME_LEFT_MS;
   return Math.max(
     1,
