--- /dev/null
+++ b/packages/sidecar/worker_channels_test.ts
@@ -0,0 +1,158 @@
+import { createServer, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { Writable } from "node:stream";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { LocalChannel } from "@oleanderdeck/calling";
+import { WorkerDirectory } from "@oleanderdeck/directory";
+import { acceptedLinkSocket, Link, type LoadReport } from "@oleanderdeck/hop";
+import { EventLog } from "@oleanderdeck/observability";
+import {
+  WorkerConnections,
+  WorkerGate,
+  WorkerTracker,
+} from "@oleanderdeck/serving";
+import { TEST_NAMES } from "./_test_fleet.ts";
+import { WorkerChannels } from "./mod.ts";
+
+const IDLE: LoadReport = {
+  running: 0,
+  waiting: 0,
+  slots: 10,
+  holdMs: 40,
+  failureShare: 0,
+  pressure: 0,
+  routePressures: [],
+};
+
+const closers: (() => void)[] = [];
+let directory: WorkerDirectory;
+let channels: WorkerChannels;
+
+beforeEach(() => {
+  directory = new WorkerDirectory();
+  const connections = new WorkerConnections({
+    address: "127.0.0.1:1",
+    names: TEST_NAMES,
+  });
+  const gate = new WorkerGate({
+    tracker: new WorkerTracker(),
+    connections,
+    names: TEST_NAMES,
+  });
+  const hello = () => ({
+    kind: "hello" as const,
+    node: "n0",
+    service: "menus",
+    configurationVersion: 1,
+    load: IDLE,
+  });
+  channels = new WorkerChannels({
+    directory,
+    local: new LocalChannel({
+      node: "n0",
+      dataCentre: "wa-a",
+      gate,
+      load: () => IDLE,
+    }),
+    hello,
+    onFrame: () => undefined,
+    log: new EventLog({
+      level: "error",
+      output: new Writable({ write: (_chunk, _encoding, done) => done() }),
+    }),
+  });
+  closers.push(() => channels.close(), () => connections.close());
+});
+afterEach(() => closers.splice(0).forEach((close) => close()));
+
+/** Adds a worker of `members` that reports a load, and waits for the report. */
+async function addWorker(
+  node: string,
+  load: Partial<LoadReport>,
+): Promise<void> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    new Link(acceptedLinkSocket(socket), {
+      onFrame: () => undefined,
+      onClose: () => undefined,
+    }).send({
+      kind: "hello",
+      node,
+      service: "members",
+      configurationVersion: 1,
+      load: { ...IDLE, ...load },
+    });
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  closers.push(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  const { port } = server.address() as AddressInfo;
+  directory.put({
+    record: {
+      node,
+      address: `127.0.0.1:${port}`,
+      service: "members",
+      dataCentre: "wa-a",
+      slots: 10,
+      workerId: `${node}-worker`,
+    },
+    revision: 1,
+  });
+  const channel = () =>
+    channels.of("members").find((entry) => entry.node === node);
+  openLinks();
+  await expect.poll(() => channel()?.load?.slots).toBe(load.slots ?? 10);
+}
+
+// A link opens with the first call.
+function openLinks(): void {
+  channels.of("members").forEach((channel) => {
+    const ticket = channel.run({
+      requestId: "r1",
+      route: "member-read",
+      method: "GET",
+      target: "/",
+      headers: [],
+      body: Buffer.alloc(0),
+      timeLeftMs: 1_000,
+      latencyTargetMs: 500,
+      rank: 8,
+      isIdempotent: true,
+      isRepeat: false,
+    }, { service: "members", finish: () => undefined });
+    closers.push(() => ticket.cancel());
+  });
+}
+
+// Guards against requests that are shed for one slow worker of a service that
+// has room elsewhere.
+test("a service has the least pressure of its workers", async () => {
+  await addWorker("n1", { pressure: 0.8 });
+  expect(channels.pressureOf("members", "member-read")).toBe(0.8);
+  await addWorker("n2", { pressure: 0.1 });
+  expect(channels.pressureOf("members", "member-read")).toBe(0.1);
+});
+
+test("a worker that takes no calls has no part in the pressure", async () => {
+  await addWorker("n1", { pressure: 0.7 });
+  await addWorker("n2", { pressure: 0, slots: 0 });
+  expect(channels.pressureOf("members", "member-read")).toBe(0.7);
+});
+
+test("the pressure of a route goes before that of the worker", async () => {
+  await addWorker("n1", {
+    pressure: 0.2,
+    routePressures: [["menu-upload", 0.6]],
+  });
+  expect(channels.pressureOf("members", "menu-upload")).toBe(0.6);
+  expect(channels.pressureOf("members", "member-read")).toBe(0.2);
+});
+
+test("a service without a report has no pressure", () => {
+  expect(channels.pressureOf("members", "member-read")).toBe(0);
+});
