--- a/packages/hop/frame_codec.ts
+++ b/packages/hop/frame_codec.ts
@@ -84,8 +84,8 @@
   );
 }
 
-// Each kind is written and read field by field: this runs four times for each
-// call, and a loop over names of fields takes several times as long.
+// Each kind is written and read field by field, since this runs four times for
+// each call.
 function packHead(frame: Frame, words: WordWriter): readonly unknown[] {
   const kind = KINDS.indexOf(frame.kind);
   switch (frame.kind) {
