Refuse requests that come too late for a stop

On SIGTERM a node answers that it is not ready, but callers stay where less than half of a zone's nodes are ready. The node took requests until 4.7 s after the signal and cut them off when it closed at 5 s of 6.

Ruled out: a shorter margin for closing, since a request that comes just before it is cut all the same; a worker that ended (it answered 32 ms after the cut).

Change: after half of the time for a stop, requests that begin a chain are refused as not run, with the time until the node closes as the pause; those that have begun, and their calls, go on.

Before, after: the new test of sidecar_node_test got 504 for the late request, now 503, not run, and the early one its answer.

--- a/packages/calling/caller_edge.ts
+++ b/packages/calling/caller_edge.ts
@@ -81,6 +81,8 @@
   #heldBytes = 0;
   #unfinished = 0;
   #lastRequestAt = 0;
+  /** Pause that new callers are told; undefined while they are served. */
+  #refusedForMs: number | undefined;
 
   /** @param options Names, workers and the configuration. */
   constructor(options: CallerEdgeOptions) {
@@ -125,6 +127,16 @@
     this.#answers.startClosing();
   }
 
+  /**
+   * Refuses requests that begin a chain from now on. Those that have begun, and
+   * the calls made for them, go on.
+   *
+   * @param retryAfterMs Pause that callers are told, in milliseconds.
+   */
+  refuseNew(retryAfterMs: number): void {
+    this.#refusedForMs = retryAfterMs;
+  }
+
   /** Closes the listener and all connections. */
   close(): void {
     this.#server.close();
@@ -209,6 +221,13 @@
       });
     } else {
       this.#lastRequestAt = arrivedAt;
+      if (this.#refusedForMs !== undefined) {
+        return this.#answers.refuse(exchange, "draining", {
+          requestId,
+          service,
+          retryAfterMs: this.#refusedForMs,
+        });
+      }
       const pressure = this.#options.pressureOf(service, route.name);
       if (this.#isShed(route, pressure)) {
         return this.#answers.refuse(exchange, "downstream_pressure", {
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -60,6 +60,9 @@
 /** Part of the time for a stop that is kept for closing, in milliseconds. */
 const STOP_MARGIN_MS = 1_000;
 
+/** Share of the time for a stop after which no request is begun. */
+const LAST_REQUEST_SHARE = 0.5;
+
 /** Options of {@linkcode SidecarNode}. */
 export interface SidecarNodeOptions {
   readonly settings: SidecarSettings;
@@ -186,6 +189,11 @@
     return !this.#isStopping && this.#configuration.version > 0;
   }
 
+  /** Version of the configuration in force; 0 if none is known. */
+  get configurationVersion(): number {
+    return this.#configuration.version;
+  }
+
   /** Starts to serve. */
   async start(): Promise<void> {
     const { callAddress, linkAddress, node, service } = this.#options.settings;
@@ -245,7 +253,11 @@
     }
     this.#gate.close();
     this.#peers.tellLoad();
-    while (elapsed() < graceMs - STOP_MARGIN_MS && !this.#isIdle()) {
+    const closingAt = graceMs - STOP_MARGIN_MS;
+    while (elapsed() < closingAt && !this.#isIdle()) {
+      if (elapsed() > graceMs * LAST_REQUEST_SHARE) {
+        this.#edge.refuseNew(closingAt - elapsed());
+      }
       await pause(STOP_CHECK_MS);
     }
     clearInterval(this.#tick);
--- a/packages/sidecar/sidecar_node_test.ts
+++ b/packages/sidecar/sidecar_node_test.ts
@@ -137,6 +137,26 @@
   });
 });
 
+// Guards against requests that are taken shortly before the end of a stop and
+// then cut off, where callers do not leave.
+test("a stop refuses requests that come too late for it", async () => {
+  const [caller, server] = await started("menus", "members");
+  fleet.configure(2, [menus, { ...members, timeoutMs: 4_000 }]);
+  await expect.poll(() => caller!.node.configurationVersion).toBe(2);
+  server!.worker.holdMs = 1_800;
+  const inFlight = fleet.call(caller!, "/members/1", { id: "early" });
+  await expect.poll(() => server!.worker.ran.length).toBe(1);
+  const stopped = caller!.node.stop();
+  await new Promise((resolve) => setTimeout(resolve, 1_600));
+  const late = await fleet.call(caller!, "/members/2", { id: "late" });
+  expect(late.status).toBe(503);
+  expect(Number(late.retryAfter)).toBeGreaterThan(0.1);
+  expect((await inFlight).status).toBe(200);
+  await stopped;
+  expect(server!.worker.ran.map(({ requestId }) => requestId))
+    .toEqual(["early"]);
+});
+
 // Guards against an address that now belongs to a worker of another service.
 test("a node refuses calls for a service that it does not serve", async () => {
   const [caller, server] = await started("menus", "members");
