Say what each node sends once, again and for repeated runs

A repeat was logged by request, within a bound on lines, and a call of a repeated run was not logged at all.

Change: the counter sends{kind,service} and, each second in which a service got any, one line repeats_sent with first, nested and repeated. No decision depends on it.

--- a/packages/calling/call_task.ts
+++ b/packages/calling/call_task.ts
@@ -65,6 +65,8 @@
 
 /** Receives what is decided about a request, for logs and counters. */
 export interface TaskObserver {
+  /** The request is about to go to its first worker. */
+  onStarted(request: CallerRequest): void;
   /** A worker was chosen. */
   onSent(request: CallerRequest, channel: WorkerChannel): void;
   /** A worker refused or failed the request. */
@@ -134,6 +136,7 @@
   start(): void {
     const { isRepeat, service } = this.#request;
     this.#options.allowance.countFirst(service, isRepeat);
+    this.#options.observer?.onStarted(this.#request);
     this.#send("no_worker");
   }
 
--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -208,6 +208,7 @@
       records: new TestRecords(this.store, name),
       log: this.#log,
       observer: new RequestObserver({
+        log: this.#log,
         metrics: this.metrics,
         requests: this.#requests!,
       }),
--- a/packages/sidecar/request_observer.ts
+++ b/packages/sidecar/request_observer.ts
@@ -7,15 +7,21 @@
 } from "@oleanderdeck/calling";
 import type { ErrorKind } from "@oleanderdeck/errors";
 import type { LoadReport } from "@oleanderdeck/hop";
-import type { MetricsPage, RequestLog } from "@oleanderdeck/observability";
+import type {
+  EventLog,
+  MetricsPage,
+  RequestLog,
+} from "@oleanderdeck/observability";
 import type {
   WorkerCall,
   WorkerFailure,
   WorkerResult,
 } from "@oleanderdeck/serving";
+import { RepeatCounts } from "./repeat_counts.ts";
 
 /** Options of {@linkcode RequestObserver}. */
 export interface RequestObserverOptions {
+  readonly log: EventLog;
   readonly requests: RequestLog;
   readonly metrics: MetricsPage;
 }
@@ -23,10 +29,16 @@
 /** Writes what a node decides about requests to its log and its counters. */
 export class RequestObserver implements EdgeObserver {
   readonly #options: RequestObserverOptions;
+  readonly #repeats: RepeatCounts;
 
   /** @param options Log and counters. */
   constructor(options: RequestObserverOptions) {
     this.#options = options;
+    this.#repeats = new RepeatCounts(options);
+  }
+
+  onStarted({ isRepeat, service }: CallerRequest): void {
+    this.#repeats.note(service, isRepeat ? "nested" : "first");
   }
 
   onSent(request: CallerRequest, { node, load }: WorkerChannel): void {
@@ -56,6 +68,7 @@
   onRepeat(request: CallerRequest, reason: ErrorKind): void {
     const { metrics, requests } = this.#options;
     const { requestId, service } = request;
+    this.#repeats.note(service, "repeated");
     metrics.count("retries", { reason, service });
     requests.write("request_repeated", requestId, () => ({ service, reason }));
   }
@@ -97,6 +110,11 @@
     requests.write("request_cancelled", requestId, () => ({ service }));
   }
 
+  /** Writes what was sent more than once since the last call of this method. */
+  reportRepeats(): void {
+    this.#repeats.report();
+  }
+
   /** Notes the outcome of a call at the worker of this host. */
   onWorkerResult(
     { rank, requestId }: Pick<WorkerCall, "rank" | "requestId">,
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -36,6 +36,9 @@
 /** Time between two checks of links and load, in milliseconds. */
 const TICK_MS = 250;
 
+/** Time between two reports of what was sent more than once. */
+const REPEATS_REPORT_MS = 1_000;
+
 /** Share of the process's memory that request bodies may use. */
 const HELD_BODIES_SHARE = 0.3;
 
@@ -98,6 +101,7 @@
   #routePressures: readonly RoutePressure[] = [];
   #settings: SidecarSettings;
   #tick: NodeJS.Timeout | undefined;
+  #report: NodeJS.Timeout | undefined;
   #isStopping = false;
 
   /** @param options Settings, header names, store and log. */
@@ -201,6 +205,11 @@
     await this.#peers.listen(linkAddress);
     await this.#edge.listen(callAddress.host, callAddress.port);
     this.#tick = setInterval(() => this.#check(), TICK_MS);
+    const { observer } = this.#options;
+    this.#report = setInterval(
+      () => observer?.reportRepeats(),
+      REPEATS_REPORT_MS,
+    );
     this.#options.log.write("info", "node_started", { node, service });
   }
 
@@ -261,6 +270,7 @@
       await pause(STOP_CHECK_MS);
     }
     clearInterval(this.#tick);
+    clearInterval(this.#report);
     this.#store.close();
     this.#edge.close();
     this.#peers.close();
