--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -6,7 +6,7 @@
 import { EventLog, MetricsPage, RequestLog } from "@oleanderdeck/observability";
 import type { HeaderNames } from "@oleanderdeck/serving";
 import { TestRecords, TestStore } from "./_test_store.ts";
-import { RequestObserver, SidecarNode } from "./mod.ts";
+import { type FleetRetryBound, RequestObserver, SidecarNode } from "./mod.ts";
 
 /** Header names for tests. */
 export const TEST_NAMES: HeaderNames = {
@@ -18,11 +18,23 @@
   callerService: "x-caller-service",
 };
 
+/** Bound of the repeats that all nodes of a test send to a service. */
+export const TEST_RETRIES: FleetRetryBound = {
+  ratio: 0.2,
+  constant: 40,
+  windowMs: 10_000,
+};
+
 /** Backend server that answers after a time and records what it ran. */
 export class TestWorker {
   readonly ran: { requestId: string; method: string; body: string }[] = [];
   readonly callers = new Set<string>();
   holdMs = 5;
+  /** Runs a request; false if its answer is lost. */
+  run: (requestId: string) => Promise<boolean> = async () => {
+    await new Promise((resolve) => setTimeout(resolve, this.holdMs));
+    return true;
+  };
   status = 200;
   address = "";
   readonly #server: Server;
@@ -38,7 +50,7 @@
         method: incoming.method ?? "",
         body: Buffer.concat(chunks).toString(),
       });
-      await new Promise((resolve) => setTimeout(resolve, this.holdMs));
+      if (!await this.run(requestId)) return void incoming.socket.destroy();
       response.writeHead(this.status, {
         "x-request": requestId,
         "x-signature": "s",
@@ -222,7 +234,7 @@
         memoryMb: 200,
         heartbeatMs: 1_000,
         graceMs: 3_000,
-        retries: { ratio: 0.2, constant: 40, windowMs: 10_000 },
+        retries: TEST_RETRIES,
       },
     });
   }
