Add a budget of repeats that keeps its bound in every span

Cause: RetryAllowance counts ten whole buckets that end now, so its window is 9 to 10 s long, and it holds repeats against the requests of that window only. The operator's bound holds in every span of 10 s, against the requests of the span, of the one before it or of the one half a span before it, whichever has most, summed over all nodes. A sum of nodes that each choose the best span for themselves is more than the best span of the sum.

Change: RepeatBudget weighs the requests of the span and of the one half a span before it by one half each, everywhere alike, and checks every span that ends now. Any fixed weights that add up to 1 hold in the sum over nodes, since a weighted mean is at most the greatest. Ruled out: the greatest of the spans for each node (does not hold in the sum), the last half span alone (holds, but allows half). Steady demand may use nine tenths or more of the bound, which a test asks for. It is not in use yet; the buckets are shared with RetryBudget, whose rule stays.

--- a/packages/retries/mod.ts
+++ b/packages/retries/mod.ts
@@ -1,6 +1,6 @@
 /**
- * Retry allowance of a call chain, the decision to retry, and the retry budget
- * of each organisation.
+ * Retry allowance of a call chain, the decision to retry, the retry budget of
+ * each organisation, and the bound of the repeats of a service.
  *
  * @module
  */
@@ -8,5 +8,6 @@
 export * from "./allowance.ts";
 export * from "./allowance_ledger.ts";
 export * from "./caller_retries.ts";
+export * from "./repeat_budget.ts";
 export * from "./retry_budget.ts";
 export * from "./retry_policy.ts";
--- /dev/null
+++ b/packages/retries/repeat_budget.ts
@@ -0,0 +1,78 @@
+import { BucketCounts } from "./bucket_counts.ts";
+
+/** Buckets that a span is divided into; an even number. */
+const BUCKETS = 40;
+const HALF = BUCKETS / 2;
+
+/** Buckets that are kept: a span, half of one before it, and the present one. */
+const KEPT = BUCKETS + HALF + 1;
+
+/** Options of {@linkcode RepeatBudget}. */
+export interface RepeatBudgetOptions {
+  /** Repeats for each request, at present. */
+  readonly ratio: () => number;
+  /** Repeats in a span that need no requests, at present. */
+  readonly constant: () => number;
+  /** Length of the spans in milliseconds. */
+  readonly windowMs: number;
+  /** Monotonic time in milliseconds. */
+  readonly now: () => number;
+}
+
+/**
+ * Bounds repeats in every span of a length by the requests around it. For a
+ * span, a request counts half if the span holds it, and half if the span of the
+ * same length that begins half a length earlier does. The weights are the same
+ * for each span and in each process. So where several processes keep a budget
+ * each, all their repeats in a span are at most the ratio of all requests in
+ * that span or in the one half a length before it, whichever has more, and the
+ * sum of the constants.
+ */
+export class RepeatBudget {
+  readonly #options: RepeatBudgetOptions;
+  readonly #first: BucketCounts;
+  readonly #repeats: BucketCounts;
+
+  /** @param options Bound and clock. */
+  constructor(options: RepeatBudgetOptions) {
+    this.#options = options;
+    const { now, windowMs } = options;
+    const counts = { bucketMs: windowMs / BUCKETS, kept: KEPT, now };
+    this.#first = new BucketCounts(counts);
+    this.#repeats = new BucketCounts(counts);
+  }
+
+  /** Counts a request. */
+  countFirst(): void {
+    this.#first.add();
+  }
+
+  /** Uses one repeat, if one is left. */
+  take(): boolean {
+    if (this.left < 1) return false;
+    this.#repeats.add();
+    return true;
+  }
+
+  /** Repeats that may be sent now; below 1 if there are none. */
+  get left(): number {
+    const { ratio, constant } = this.#options;
+    const first = this.#first;
+    const last = this.#repeats.present;
+    // A span may begin anywhere in its first bucket; requests count only in
+    // buckets that lie within it all the same.
+    let around = first.sumOfLast(HALF);
+    let within = 0;
+    let repeats = 0;
+    let least = Infinity;
+    for (let start = last; start >= last - BUCKETS; start--) {
+      if (start < last) {
+        around += first.in(start - HALF + 1) - first.in(start + HALF);
+        within += first.in(start + 1) - first.in(start + BUCKETS);
+      }
+      repeats += this.#repeats.in(start);
+      least = Math.min(least, ratio() * (around + within) / 2 - repeats);
+    }
+    return constant() + least;
+  }
+}
--- /dev/null
+++ b/packages/retries/repeat_budget_test.ts
@@ -0,0 +1,114 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { RepeatBudget } from "./mod.ts";
+
+const RATIO = 0.2;
+const CONSTANT = 4;
+const WINDOW_MS = 10_000;
+const NODES = 3;
+
+interface Burst {
+  readonly node: number;
+  /** Time since the burst before, in milliseconds. */
+  readonly afterMs: number;
+  readonly requests: number;
+  readonly wantedRepeats: number;
+}
+
+interface Event {
+  readonly at: number;
+  readonly isRepeat: boolean;
+}
+
+const bursts = fc.array(
+  fc.record({
+    node: fc.nat(NODES - 1),
+    afterMs: fc.oneof(fc.nat(400), fc.nat(4_000)),
+    requests: fc.oneof(fc.nat(20), fc.nat(400)),
+    wantedRepeats: fc.oneof(fc.nat(10), fc.nat(200)),
+  }),
+  { minLength: 1, maxLength: 60 },
+);
+
+// Each node keeps its part of the constant; all their sends are one list.
+function play(schedule: readonly Burst[]): readonly Event[] {
+  let time = 0;
+  const budgets = Array.from({ length: NODES }, () =>
+    new RepeatBudget({
+      ratio: () => RATIO,
+      constant: () => CONSTANT / NODES,
+      windowMs: WINDOW_MS,
+      now: () => time,
+    }));
+  return schedule.flatMap(({ node, afterMs, requests, wantedRepeats }) => {
+    time += afterMs;
+    const budget = budgets[node]!;
+    const first = Array.from({ length: requests }, () => {
+      budget.countFirst();
+      return { at: time, isRepeat: false };
+    });
+    const wanted = Array.from({ length: wantedRepeats }, () => budget.take());
+    return [
+      ...first,
+      ...wanted.filter(Boolean).map(() => ({ at: time, isRepeat: true })),
+    ];
+  });
+}
+
+function count(events: readonly Event[], isRepeat: boolean, from: number) {
+  return events.filter((event) =>
+    event.isRepeat === isRepeat && event.at >= from &&
+    event.at < from + WINDOW_MS
+  ).length;
+}
+
+// Guards against repeats beyond the bound in a span that begins between two
+// buckets, or with the demand of another node in another span.
+test("the repeats of all nodes stay within the bound in every span", () => {
+  const property = fc.property(bursts, (schedule) => {
+    const events = play(schedule);
+    const starts = new Set(
+      events.filter(({ isRepeat }) => isRepeat).map(({ at }) => at),
+    );
+    starts.forEach((start) => {
+      const requests = [0, WINDOW_MS / 2, WINDOW_MS].map((back) =>
+        count(events, false, start - back)
+      );
+      expect(count(events, true, start))
+        .toBeLessThanOrEqual(RATIO * Math.max(...requests) + CONSTANT);
+    });
+  });
+  fc.assert(property, { numRuns: 300, seed: 15 });
+});
+
+// Guards against a bound that is kept by sending too little.
+test("steady demand may use nine tenths of the bound", () => {
+  let time = 0;
+  const budget = new RepeatBudget({
+    ratio: () => RATIO,
+    constant: () => 0,
+    windowMs: WINDOW_MS,
+    now: () => time,
+  });
+  const taken: number[] = [];
+  for (; time < 40_000; time += 10) {
+    budget.countFirst();
+    if (budget.take()) taken.push(time);
+  }
+  const late = taken.filter((at) => at >= 40_000 - WINDOW_MS);
+  expect(late.length).toBeGreaterThan(0.9 * RATIO * WINDOW_MS / 10);
+});
+
+test("repeats without requests are bounded by the constant", () => {
+  let time = 123_456;
+  const budget = new RepeatBudget({
+    ratio: () => RATIO,
+    constant: () => 2,
+    windowMs: WINDOW_MS,
+    now: () => time,
+  });
+  expect([budget.take(), budget.take(), budget.take()])
+    .toEqual([true, true, false]);
+  time += WINDOW_MS + 500;
+  expect(budget.take()).toBe(true);
+});
--- a/packages/retries/retry_budget.ts
+++ b/packages/retries/retry_budget.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@oleanderdeck/settings";
+import { BucketCounts } from "./bucket_counts.ts";
 
 /** Time over which first attempts and retries are compared, in milliseconds. */
 export const BUDGET_WINDOW_MS = 10_000;
@@ -27,56 +28,33 @@
 
   /** Counts a first attempt. */
   countFirst(organisation: string): void {
-    this.#account(organisation).first[this.#turn(organisation)]!++;
+    this.#accountOf(organisation).first.add();
   }
 
   /** Uses one retry of the budget, if there is one. */
   take(organisation: string): boolean {
-    const bucket = this.#turn(organisation);
-    const account = this.#account(organisation);
-    const limit = BUDGET_CONSTANT + BUDGET_RATIO * sum(account.first);
-    if (sum(account.retries) + 1 > limit) return false;
-    account.retries[bucket]!++;
+    const { first, retries } = this.#accountOf(organisation);
+    const limit = BUDGET_CONSTANT + BUDGET_RATIO * first.sumOfLast(BUCKETS);
+    if (retries.sumOfLast(BUCKETS) + 1 > limit) return false;
+    retries.add();
     return true;
   }
 
-  #account(organisation: string): Account {
+  #accountOf(organisation: string): Account {
     const known = this.#accounts.get(organisation);
     if (known !== undefined) return known;
+    const now = () => this.#clock.now();
+    const counts = { bucketMs: BUCKET_MS, kept: BUCKETS, now };
     const account = {
-      first: new Array<number>(BUCKETS).fill(0),
-      retries: new Array<number>(BUCKETS).fill(0),
-      bucket: this.#now(),
+      first: new BucketCounts(counts),
+      retries: new BucketCounts(counts),
     };
     this.#accounts.set(organisation, account);
     return account;
   }
-
-  #now(): number {
-    return Math.floor(this.#clock.now() / BUCKET_MS);
-  }
-
-  // Clears the buckets that have left the window and returns the current one.
-  #turn(organisation: string): number {
-    const account = this.#account(organisation);
-    const now = this.#now();
-    const stale = Math.min(BUCKETS, now - account.bucket);
-    for (let step = 1; step <= stale; step++) {
-      const bucket = (account.bucket + step) % BUCKETS;
-      account.first[bucket] = 0;
-      account.retries[bucket] = 0;
-    }
-    account.bucket = now;
-    return now % BUCKETS;
-  }
 }
 
 interface Account {
-  readonly first: number[];
-  readonly retries: number[];
-  bucket: number;
-}
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
+  readonly first: BucketCounts;
+  readonly retries: BucketCounts;
 }
