Bound repeats at the gate of the worker that gets them

What callers and operators saw: the deepest service of a call graph gets more repeats than the fleet is allowed, because a repeat was paid for once, at the service that is repeated. The calls that its run makes were noted at the services below and sent whatever the allowance said, so each level added its own allowance times the calls of a run. Noted among the first attempts, they also raised the allowance.

Class of the fault: a bound that is enforced at the causes of load, one by one, and not where the load arrives.

Change: the gate beside a worker is the only way to it, so it counts what the worker gets: requests, and repeats, which include the calls of runs that are repeats. It refuses a repeat beyond its budget before it is sent, as not run. The gates of the workers of a service add up to the bound of the service, whoever sends. RetryAllowance of the calling side is gone. A new error kind, retry_limit, tells the caller. The line repeats_counted now comes from the gate.

Three gate tests take the place of the two tests of RetryAllowance.

--- a/packages/calling/_test_channel.ts
+++ b/packages/calling/_test_channel.ts
@@ -68,6 +68,15 @@
   retryAfterMs: 120,
 };
 
+/** A repeat that was refused unsent, since the bound of repeats is reached. */
+export const RETRY_LIMIT: WorkerResult = {
+  kind: "failure",
+  error: "retry_limit",
+  mayHaveRun: false,
+  wasSent: false,
+  retryAfterMs: 900,
+};
+
 /** A call that the worker refused. */
 export const SHED: WorkerResult = {
   kind: "failure",
--- a/packages/calling/call_task.ts
+++ b/packages/calling/call_task.ts
@@ -5,11 +5,13 @@
   WorkerFailure,
   WorkerResult,
 } from "@oleanderdeck/serving";
-import type { RetryAllowance } from "./retry_allowance.ts";
 import type { WorkerChannel } from "./worker_channel.ts";
 import { chooseChannel } from "./worker_choice.ts";
 
-/** Full workers that may refuse a call, unsent, before the caller is told. */
+/**
+ * Workers that may refuse a call for want of room, unsent, before the caller is
+ * told.
+ */
 const MAX_REFUSALS = 3;
 
 /** Time left below which a call is not sent again, in milliseconds. */
@@ -65,8 +67,6 @@
 
 /** Receives what is decided about a request, for logs and counters. */
 export interface TaskObserver {
-  /** The request is about to go to its first worker. */
-  onStarted(request: CallerRequest): void;
   /** A worker was chosen. */
   onSent(request: CallerRequest, channel: WorkerChannel): void;
   /** A worker refused or failed the request. */
@@ -84,7 +84,6 @@
   readonly dataCentre: string;
   /** Ways to the workers of a service at present. */
   readonly channels: (service: string) => readonly WorkerChannel[];
-  readonly allowance: RetryAllowance;
   /** Overload of a service, and of those that calls of a route reach. */
   readonly pressureOf: (service: string, route: string) => number;
   /** Usual size of an answer of a service. */
@@ -97,8 +96,8 @@
 /**
  * Carries one request from its caller to a worker. It goes to another worker
  * only where that is safe: after a refusal that proves it has not run, or, if
- * it is idempotent, after a failure, within the attempts of its route and the
- * retry allowance of its service.
+ * it is idempotent, after a failure, within the attempts of its route and what
+ * the gates of the workers let through of repeats.
  */
 export class CallTask {
   readonly #request: CallerRequest;
@@ -116,7 +115,7 @@
 
   /**
    * @param request Request of the caller.
-   * @param options Workers, allowance and receiver of the outcome.
+   * @param options Workers and receiver of the outcome.
    */
   constructor(request: CallerRequest, options: CallTaskOptions) {
     this.#request = request;
@@ -134,9 +133,6 @@
 
   /** Sends the request to its first worker. */
   start(): void {
-    const { isRepeat, service } = this.#request;
-    this.#options.allowance.countFirst(service, isRepeat);
-    this.#options.observer?.onStarted(this.#request);
     this.#send("no_worker");
   }
 
@@ -209,17 +205,16 @@
     if (wasSent) {
       this.#attempts++;
       if (!this.#takeRetry(error)) return this.#refuse(error, retryAfterMs);
-    } else if (error === "queue_full" && ++this.#refusals >= MAX_REFUSALS) {
+    } else if (isForWantOfRoom(error) && ++this.#refusals >= MAX_REFUSALS) {
       return this.#refuse(error, retryAfterMs);
     }
     this.#send(error, retryAfterMs);
   }
 
   #takeRetry(reason: ErrorKind): boolean {
-    const { deadline, maxAttempts, service } = this.#request;
+    const { deadline, maxAttempts } = this.#request;
     const isAllowed = this.#attempts < maxAttempts &&
-      deadline - performance.now() > MIN_RETRY_TIME_MS &&
-      this.#options.allowance.take(service);
+      deadline - performance.now() > MIN_RETRY_TIME_MS;
     if (isAllowed) this.#options.observer?.onRepeat(this.#request, reason);
     return isAllowed;
   }
@@ -262,6 +257,10 @@
   }
 }
 
+function isForWantOfRoom(error: ErrorKind): boolean {
+  return error === "queue_full" || error === "retry_limit";
+}
+
 function lostKind(error: ErrorKind): ErrorKind {
   return ERROR_ANSWERS[error].run === "no" ? "connection_lost" : error;
 }
--- a/packages/calling/call_task_test.ts
+++ b/packages/calling/call_task_test.ts
@@ -1,16 +1,17 @@
 import { expect, test } from "vitest";
 import type { WorkerCall, WorkerResult } from "@oleanderdeck/serving";
+import { type CallerRequest, CallTask, type TaskResult } from "./mod.ts";
 import {
-  type CallerRequest,
-  CallTask,
-  RetryAllowance,
-  type TaskResult,
-} from "./mod.ts";
-import { answered, LOST, REFUSED, SHED, TestChannel } from "./_test_channel.ts";
+  answered,
+  LOST,
+  REFUSED,
+  RETRY_LIMIT,
+  SHED,
+  TestChannel,
+} from "./_test_channel.ts";
 
 interface TaskOptions {
   readonly request?: Partial<CallerRequest>;
-  readonly repeats?: number;
   readonly pressure?: number;
 }
 
@@ -35,11 +36,6 @@
   }, {
     dataCentre: "wa-a",
     channels: () => channels,
-    allowance: new RetryAllowance({
-      ratio: () => 0,
-      constant: () => options.repeats ?? 10,
-      windowMs: 10_000,
-    }),
     pressureOf: () => options.pressure ?? 0,
     finish,
   });
@@ -75,7 +71,7 @@
 test("a refusal before the worker leads to another worker", async () => {
   const full = new TestChannel("a", always(REFUSED));
   const free = new TestChannel("b", always(answered()), { holdMs: 400 });
-  const { result } = start([full, free], { request: unsafe, repeats: 0 });
+  const { result } = start([full, free], { request: unsafe });
   expect(await result).toMatchObject({ status: 200 });
 });
 
@@ -99,14 +95,25 @@
   expect(repeats.sort()).toEqual([false, true]);
 });
 
-// Guards against repeats beyond the bound of the fleet.
-test("no repeat is sent beyond the allowance", async () => {
-  const channels = ["a", "b"].map((name) =>
-    new TestChannel(name, always(SHED))
+test("a request whose repeats are all refused may come back", async () => {
+  const shed = new TestChannel("a", always(SHED));
+  const others = ["b", "c"].map((name) =>
+    new TestChannel(name, always(RETRY_LIMIT), { holdMs: 400 })
   );
-  const { result } = start(channels, { repeats: 0 });
-  expect(await result).toMatchObject({ status: 503, retryAfterMs: 80 });
-  expect(runs(channels)).toHaveLength(1);
+  const { result } = start([shed, ...others]);
+  expect(await result).toMatchObject({
+    status: 503,
+    error: "retry_limit",
+    retryAfterMs: 900,
+  });
+});
+
+// Guards against a status that promises 'not run' after a run.
+test("a lost request whose repeats are refused promises nothing", async () => {
+  const lost = new TestChannel("a", always(LOST));
+  const other = new TestChannel("b", always(RETRY_LIMIT), { holdMs: 400 });
+  const { result } = start([lost, other]);
+  expect(await result).toMatchObject({ status: 502 });
 });
 
 // Guards against a status that promises 'not run' after a run.
--- a/packages/calling/caller_edge.ts
+++ b/packages/calling/caller_edge.ts
@@ -20,7 +20,6 @@
 import { RequestHeaderReader, timeLimitMs } from "./_request_head.ts";
 import { type CallerRequest, CallTask, type TaskResult } from "./call_task.ts";
 import type { EdgeObserver, NestedCall } from "./edge_observer.ts";
-import type { RetryAllowance } from "./retry_allowance.ts";
 import { RootShedding } from "./root_shedding.ts";
 import { RouteTable } from "./route_table.ts";
 import type { WorkerChannel } from "./worker_channel.ts";
@@ -52,7 +51,6 @@
   readonly callerService: string;
   readonly dataCentre: string;
   readonly configuration: ConfigurationHolder;
-  readonly allowance: RetryAllowance;
   readonly channels: (service: string) => readonly WorkerChannel[];
   /** Overload of a service, and of those that calls of a route reach. */
   readonly pressureOf: (service: string, route: string) => number;
@@ -257,7 +255,6 @@
     const task = new CallTask(callerRequest, {
       dataCentre: this.#options.dataCentre,
       channels: this.#options.channels,
-      allowance: this.#options.allowance,
       pressureOf: this.#options.pressureOf,
       answerBytes: (service) => this.#answerBytes.get(service) ?? 0,
       finish: (result) => this.#answer(exchange, callerRequest, result),
--- a/packages/calling/mod.ts
+++ b/packages/calling/mod.ts
@@ -10,7 +10,6 @@
 export * from "./edge_observer.ts";
 export * from "./local_channel.ts";
 export * from "./peer_channel.ts";
-export * from "./retry_allowance.ts";
 export * from "./root_shedding.ts";
 export * from "./route_table.ts";
 export * from "./worker_channel.ts";
--- a/packages/calling/routing_test.ts
+++ b/packages/calling/routing_test.ts
@@ -1,11 +1,6 @@
 import { expect, test } from "vitest";
 import type { Route, ServiceShare } from "@oleanderdeck/directory";
-import {
-  chooseChannel,
-  RetryAllowance,
-  RootShedding,
-  RouteTable,
-} from "./mod.ts";
+import { chooseChannel, RootShedding, RouteTable } from "./mod.ts";
 import { answered, TestChannel } from "./_test_channel.ts";
 
 function route(pathPrefix: string, shares: readonly ServiceShare[]): Route {
@@ -154,30 +149,6 @@
   expect(chosen([failing, busy])).toBe("busy");
 });
 
-test("repeats are bounded by first attempts and the constant", () => {
-  const allowance = new RetryAllowance({
-    ratio: () => 0.1,
-    constant: () => 1,
-    windowMs: 10_000,
-  });
-  for (let count = 0; count < 20; count++) allowance.countFirst("a", false);
-  const taken = Array.from({ length: 5 }, () => allowance.take("a"));
-  expect(taken).toEqual([true, true, true, false, false]);
-});
-
-// Guards against chains whose repeats multiply at each service.
-test("calls of a repeated request use up the allowance", () => {
-  const allowance = new RetryAllowance({
-    ratio: () => 0.1,
-    constant: () => 0,
-    windowMs: 10_000,
-  });
-  for (let count = 0; count < 20; count++) {
-    allowance.countFirst("a", count < 2);
-  }
-  expect(allowance.take("a")).toBe(false);
-});
-
 test("the least important requests are shed first", () => {
   const shedding = new RootShedding();
   [0, 1, 2].forEach((priority) => shedding.note(priority));
--- a/packages/errors/error_kind.ts
+++ b/packages/errors/error_kind.ts
@@ -162,6 +162,13 @@
     200,
     "Another worker answers at the address of the worker",
   ),
+  retry_limit: answer(
+    503,
+    "unavailable",
+    "no",
+    1000,
+    "The repeats of the service have reached their bound",
+  ),
   worker_failed: answer(
     500,
     "internal",
--- a/packages/observability/counter_reference.ts
+++ b/packages/observability/counter_reference.ts
@@ -42,6 +42,8 @@
     "The backend server sheds by itself: its `slots` are set higher than it can carry",
   worker_replaced:
     "Normal for a moment after a worker was replaced; otherwise look for two nodes with one address",
+  retry_limit:
+    "Many requests of the service were sent again: look for workers that fail or lose answers",
   worker_failed: "The backend server answers with 500: see its own log",
   no_route: "A host or path that no route covers: correct the callers",
   connection_refused: "The backend server does not listen: restart it",
--- a/packages/retries/bucket_counts.ts
+++ b/packages/retries/bucket_counts.ts
@@ -32,6 +32,11 @@
     this.#counts[this.present % this.#options.kept]!++;
   }
 
+  /** Takes back an event that was counted and has not come about. */
+  remove(): void {
+    this.#counts[this.present % this.#options.kept]!--;
+  }
+
   /** Events of one bucket; 0 for a later one, or one that is not kept. */
   in(bucket: number): number {
     const { kept } = this.#options;
--- a/packages/retries/repeat_budget.ts
+++ b/packages/retries/repeat_budget.ts
@@ -47,6 +47,11 @@
     this.#first.add();
   }
 
+  /** Takes back a request that was counted and not sent. */
+  withdrawFirst(): void {
+    this.#first.remove();
+  }
+
   /** Uses one repeat, if one is left. */
   take(): boolean {
     if (this.left < 1) return false;
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -1,5 +1,6 @@
 import type { ErrorKind } from "@oleanderdeck/errors";
 import type { LoadReport } from "@oleanderdeck/hop";
+import type { RepeatBudget } from "@oleanderdeck/retries";
 import type { GateInterval } from "./overload_meter.ts";
 import { isNestedRank } from "./rank.ts";
 import { RankedQueue } from "./ranked_queue.ts";
@@ -45,6 +46,17 @@
   readonly tracker: WorkerTracker;
   readonly connections: WorkerConnections;
   readonly names: HeaderNames;
+  /** Bound of the repeats that the worker gets. */
+  readonly repeats: RepeatBudget;
+  readonly observer?: GateObserver;
+}
+
+/** Receives what the gate decides about repeats. */
+export interface GateObserver {
+  /** A call goes to the worker. */
+  onRunning(call: WorkerCall): void;
+  /** A call is refused because the bound of repeats is reached. */
+  onRepeatRefused(call: WorkerCall): void;
 }
 
 /** A call that was handed to the gate. */
@@ -69,7 +81,8 @@
 /**
  * The only way to the worker beside this node. It keeps as many calls at the
  * worker as the worker has slots, lets others wait in the order of their ranks
- * and refuses those that would wait too long, before they are sent.
+ * and refuses those that would wait too long, before they are sent. Repeats, and
+ * the calls of runs that are repeats, pass within a budget.
  */
 export class WorkerGate {
   readonly #options: WorkerGateOptions;
@@ -161,6 +174,8 @@
     };
     if (!this.isOpen) {
       this.#refuse(entry, this.#isClosed ? "draining" : "no_worker");
+    } else if (call.isRepeat && this.#options.repeats.left < 1) {
+      this.#refuseRepeat(entry);
     } else if (
       this.#running < this.#options.tracker.state.slots &&
       this.#queue.length === 0
@@ -218,7 +233,11 @@
     if (left < MIN_TIME_LEFT_MS) {
       return this.#refuse(entry, "deadline_too_short");
     }
-    const { names, connections, tracker } = this.#options;
+    const { call } = entry;
+    const { names, connections, observer, repeats, tracker } = this.#options;
+    if (!call.isRepeat) repeats.countFirst();
+    else if (!repeats.take()) return this.#refuseRepeat(entry);
+    observer?.onRunning(call);
     // The worker stops by itself at the end of the time that it is told; an
     // exchange that lasts longer has lost its answer and would keep its slot.
     entry.timer = setTimeout(
@@ -226,13 +245,13 @@
       left + LOST_ANSWER_MARGIN_MS,
     );
     this.#running++;
-    this.#atWorker.set(entry.call.requestId, entry.call);
+    this.#atWorker.set(call.requestId, call);
     entry.startedAt = now;
     let isFinished = false;
     entry.exchange = connections.send({
-      ...entry.call,
+      ...call,
       headers: [
-        ...entry.call.headers,
+        ...call.headers,
         names.timeLeftMs,
         String(Math.floor(left)),
         names.expectedWorker,
@@ -250,6 +269,10 @@
     this.#running--;
     this.#atWorker.delete(entry.call.requestId);
     const isAnswer = result.kind === "answer";
+    // Another worker gets the call as its first one.
+    if (!isAnswer && !result.wasSent && !entry.call.isRepeat) {
+      this.#options.repeats.withdrawFirst();
+    }
     const isCancelled = !isAnswer && result.error === "caller_cancelled";
     if (isAnswer) {
       const held = performance.now() - entry.startedAt;
@@ -296,6 +319,11 @@
     });
   }
 
+  #refuseRepeat(entry: Entry): void {
+    this.#options.observer?.onRepeatRefused(entry.call);
+    this.#refuse(entry, "retry_limit");
+  }
+
   #refuse(entry: Entry, error: ErrorKind): void {
     if (error === "queue_full") this.#refused++;
     entry.finish({
--- a/packages/serving/worker_gate_test.ts
+++ b/packages/serving/worker_gate_test.ts
@@ -1,4 +1,5 @@
 import { afterEach, expect, test } from "vitest";
+import { RepeatBudget } from "@oleanderdeck/retries";
 import {
   RankedQueue,
   rankOfNested,
@@ -19,13 +20,23 @@
 const closers: (() => void)[] = [];
 afterEach(() => closers.splice(0).forEach((close) => close()));
 
-async function start(slots: number) {
+async function start(slots: number, repeats = { ratio: 0, constant: 0 }) {
   const waiting: ReceivedRequest[] = [];
   const worker = new RawWorker((request) => void waiting.push(request));
   const address = await worker.listen();
   const connections = new WorkerConnections({ address, names: TEST_NAMES });
   const tracker = new WorkerTracker();
-  const gate = new WorkerGate({ tracker, connections, names: TEST_NAMES });
+  const gate = new WorkerGate({
+    tracker,
+    connections,
+    names: TEST_NAMES,
+    repeats: new RepeatBudget({
+      ratio: () => repeats.ratio,
+      constant: () => repeats.constant,
+      windowMs: 10_000,
+      now: () => performance.now(),
+    }),
+  });
   closers.push(() => connections.close(), () => worker.close());
   const state = (state: "ready" | "draining", sequence: number) =>
     tracker.take({
@@ -69,6 +80,59 @@
   });
 });
 
+// Guards against repeats, and calls of repeated runs, that pass without a bound.
+test("repeats beyond the bound are refused unsent", async () => {
+  const { run, results, arrived } = await start(8, { ratio: 0, constant: 2 });
+  run("first");
+  ["again-1", "again-2", "again-3"].forEach((name) =>
+    run(name, { isRepeat: true })
+  );
+  expect(await arrived(3)).toEqual(["first", "again-1", "again-2"]);
+  expect(results.get("again-3")).toMatchObject({
+    kind: "failure",
+    error: "retry_limit",
+    mayHaveRun: false,
+    wasSent: false,
+  });
+});
+
+// Guards against repeats that wait and pass when others have used up the bound.
+test("a waiting repeat is held against the bound when it is sent", async () => {
+  const { run, results, arrived, answer } = await start(1, {
+    ratio: 0,
+    constant: 1,
+  });
+  run("first");
+  run("again-1", { isRepeat: true });
+  run("again-2", { isRepeat: true });
+  await arrived(1);
+  answer();
+  await arrived(2);
+  answer();
+  await expect.poll(() => results.get("again-2")).toMatchObject({
+    error: "retry_limit",
+  });
+});
+
+// Guards against repeats that raise the bound that is meant for them.
+test("repeats earn no further repeats", async () => {
+  const { run, results, arrived } = await start(30, {
+    ratio: 0.5,
+    constant: 20,
+  });
+  Array.from(
+    { length: 21 },
+    (_, index) => run(`again-${index}`, { isRepeat: true }),
+  );
+  await arrived(20);
+  // Requests count once the bucket in which they came has passed.
+  await new Promise((resolve) => setTimeout(resolve, 600));
+  run("again-late", { isRepeat: true });
+  ["again-20", "again-late"].forEach((name) =>
+    expect(results.get(name)).toMatchObject({ error: "retry_limit" })
+  );
+});
+
 test("the lowest rank is served first", async () => {
   const { run, arrived, answer } = await start(1);
   run("first");
--- a/packages/sidecar/repeat_bound_test.ts
+++ b/packages/sidecar/repeat_bound_test.ts
@@ -1,5 +1,4 @@
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { runKnownRed } from "../testing/known_red.ts";
 import { RepeatLedger } from "./_repeat_ledger.ts";
 import { TEST_RETRIES, TestFleet, type TestHost } from "./_test_fleet.ts";
 
@@ -90,16 +89,12 @@
 }
 
 // Guards against calls of repeated runs that are counted and never bounded.
-test("repeats of one level after another stay within the bound below", () =>
-  runKnownRed(
-    "repeats of one level after another stay within the bound below",
-    async () => {
-      const [host] = await started();
-      for (const { service } of CHAIN.toReversed()) {
-        losing = service;
-        await callMenus(host!, 60);
-      }
-      expect(ledger.repeatsOf("members")).toBeGreaterThan(20);
-      expectBound();
-    },
-  ));
+test("repeats of one level after another stay within the bound below", async () => {
+  const [host] = await started();
+  for (const { service } of CHAIN.toReversed()) {
+    losing = service;
+    await callMenus(host!, 60);
+  }
+  expect(ledger.repeatsOf("members")).toBeGreaterThan(20);
+  expectBound();
+});
--- a/packages/sidecar/repeat_counts.ts
+++ b/packages/sidecar/repeat_counts.ts
@@ -1,10 +1,11 @@
 import type { EventLog, MetricsPage } from "@oleanderdeck/observability";
 
 /**
- * How a send counts towards the bound of repeats: as the first of a request, as
- * the first of a request that a repeated run makes, or as a repeat.
+ * How a call at the gate of the own worker counts: as the first of its request,
+ * as a repeat (also if a run that is a repeat makes it), or as a repeat that was
+ * refused for the bound.
  */
-export type SendKind = "first" | "nested" | "repeated";
+export type CountedCall = "first" | "repeat" | "refused";
 
 /** Options of {@linkcode RepeatCounts}. */
 export interface RepeatCountsOptions {
@@ -12,41 +13,34 @@
   readonly metrics: MetricsPage;
 }
 
-type Counts = Record<SendKind, number>;
-
 /**
- * Counts what this node sends to each service, so that the sum over all nodes
- * can be held against the bound of repeats.
+ * Counts what the own worker gets, so that the sum over the workers of a
+ * service can be held against the bound of repeats.
  */
 export class RepeatCounts {
   readonly #options: RepeatCountsOptions;
-  readonly #services = new Map<string, Counts>();
+  #counts = { first: 0, repeat: 0, refused: 0 };
 
   /** @param options Where counts are written. */
   constructor(options: RepeatCountsOptions) {
     this.#options = options;
   }
 
-  /** Counts one send to a service. */
-  note(service: string, kind: SendKind): void {
-    this.#options.metrics.count("sends", { kind, service });
-    const known = this.#services.get(service);
-    const counts = known ?? { first: 0, nested: 0, repeated: 0 };
-    if (known === undefined) this.#services.set(service, counts);
-    counts[kind]++;
+  /** Counts one call. */
+  note(kind: CountedCall): void {
+    this.#options.metrics.count("gate_calls", { kind });
+    this.#counts[kind]++;
   }
 
-  /** Writes a line for each service that got repeats since the last report. */
+  /** Writes a line if there were repeats since the last report. */
   report(): void {
-    this.#services.forEach(({ first, nested, repeated }, service) => {
-      if (nested + repeated === 0) return;
-      this.#options.log.write("info", "repeats_sent", {
-        service,
-        first,
-        nested,
-        repeated,
-      });
+    const { first, repeat, refused } = this.#counts;
+    this.#counts = { first: 0, repeat: 0, refused: 0 };
+    if (repeat + refused === 0) return;
+    this.#options.log.write("info", "repeats_counted", {
+      first,
+      repeat,
+      refused,
     });
-    this.#services.clear();
   }
 }
--- a/packages/sidecar/repeat_counts_test.ts
+++ b/packages/sidecar/repeat_counts_test.ts
@@ -16,25 +16,24 @@
   return { counts: new RepeatCounts({ log, metrics }), lines, metrics };
 }
 
-// Guards against logs that do not tell repeats from the calls of repeated runs.
-test("a report tells the kinds of sends to each service", () => {
+// Guards against logs that do not tell how far repeats are from their bound.
+test("a report tells requests, repeats and refused repeats", () => {
   const { counts, lines, metrics } = started();
-  counts.note("members", "first");
-  counts.note("members", "nested");
-  counts.note("members", "repeated");
-  counts.note("members", "repeated");
-  counts.note("menus", "first");
+  counts.note("first");
+  counts.note("first");
+  counts.note("repeat");
+  counts.note("refused");
   counts.report();
   expect(lines).toHaveLength(1);
-  expect(lines[0]).toContain("service=members first=1 nested=1 repeated=2");
-  expect(metrics.render()).toContain('sends{kind="first",service="menus"} 1');
+  expect(lines[0]).toContain("first=2 repeat=1 refused=1");
+  expect(metrics.render()).toContain('gate_calls{kind="first"} 2');
 });
 
 test("a report begins anew after each line", () => {
   const { counts, lines } = started();
-  counts.note("members", "repeated");
+  counts.note("repeat");
   counts.report();
-  counts.note("members", "first");
+  counts.note("first");
   counts.report();
   expect(lines).toHaveLength(1);
 });
--- a/packages/sidecar/request_observer.ts
+++ b/packages/sidecar/request_observer.ts
@@ -13,6 +13,7 @@
   RequestLog,
 } from "@oleanderdeck/observability";
 import type {
+  GateObserver,
   WorkerCall,
   WorkerFailure,
   WorkerResult,
@@ -27,7 +28,7 @@
 }
 
 /** Writes what a node decides about requests to its log and its counters. */
-export class RequestObserver implements EdgeObserver {
+export class RequestObserver implements EdgeObserver, GateObserver {
   readonly #options: RequestObserverOptions;
   readonly #repeats: RepeatCounts;
 
@@ -37,8 +38,12 @@
     this.#repeats = new RepeatCounts(options);
   }
 
-  onStarted({ isRepeat, service }: CallerRequest): void {
-    this.#repeats.note(service, isRepeat ? "nested" : "first");
+  onRunning({ isRepeat }: WorkerCall): void {
+    this.#repeats.note(isRepeat ? "repeat" : "first");
+  }
+
+  onRepeatRefused(): void {
+    this.#repeats.note("refused");
   }
 
   onSent(request: CallerRequest, { node, load }: WorkerChannel): void {
@@ -68,7 +73,6 @@
   onRepeat(request: CallerRequest, reason: ErrorKind): void {
     const { metrics, requests } = this.#options;
     const { requestId, service } = request;
-    this.#repeats.note(service, "repeated");
     metrics.count("retries", { reason, service });
     requests.write("request_repeated", requestId, () => ({ service, reason }));
   }
@@ -110,7 +114,7 @@
     requests.write("request_cancelled", requestId, () => ({ service }));
   }
 
-  /** Writes what was sent more than once since the last call of this method. */
+  /** Writes the repeats at the worker since the last call of this method. */
   reportRepeats(): void {
     this.#repeats.report();
   }
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -1,8 +1,4 @@
-import {
-  CallerEdge,
-  LocalChannel,
-  RetryAllowance,
-} from "@oleanderdeck/calling";
+import { CallerEdge, LocalChannel } from "@oleanderdeck/calling";
 import {
   ConfigurationHolder,
   type PlatformRecords,
@@ -16,6 +12,7 @@
   RoutePressure,
 } from "@oleanderdeck/hop";
 import type { EventLog, MetricsPage } from "@oleanderdeck/observability";
+import { RepeatBudget } from "@oleanderdeck/retries";
 import {
   type HeaderNames,
   OverloadMeter,
@@ -36,7 +33,7 @@
 /** Time between two checks of links and load, in milliseconds. */
 const TICK_MS = 250;
 
-/** Time between two reports of what was sent more than once. */
+/** Time between two reports of the repeats at the worker, in milliseconds. */
 const REPEATS_REPORT_MS = 1_000;
 
 /** Share of the process's memory that request bodies may use. */
@@ -89,6 +86,7 @@
   readonly #configuration = new ConfigurationHolder();
   readonly #tracker = new WorkerTracker();
   readonly #connections: WorkerConnections;
+  readonly #repeats: RepeatBudget;
   readonly #gate: WorkerGate;
   readonly #edge: CallerEdge;
   readonly #peers: PeerServer;
@@ -109,6 +107,12 @@
     this.#options = options;
     const { names, records, log, settings } = options;
     this.#settings = settings;
+    this.#repeats = new RepeatBudget({
+      ratio: () => OWN_RETRY_SHARE * this.#settings.retries.ratio,
+      constant: () => this.#ownRetryConstant(),
+      windowMs: settings.retries.windowMs,
+      now: () => performance.now(),
+    });
     this.#connections = new WorkerConnections({
       address: settings.workerAddress,
       names,
@@ -117,6 +121,8 @@
       tracker: this.#tracker,
       connections: this.#connections,
       names,
+      repeats: this.#repeats,
+      ...(options.observer && { observer: options.observer }),
     });
     this.#knowledge = new KnowledgeExchange({
       configuration: this.#configuration,
@@ -148,11 +154,6 @@
       callerService: settings.service,
       dataCentre: settings.dataCentre,
       configuration: this.#configuration,
-      allowance: new RetryAllowance({
-        ratio: () => OWN_RETRY_SHARE * this.#settings.retries.ratio,
-        constant: () => this.#ownRetryConstant(),
-        windowMs: settings.retries.windowMs,
-      }),
       channels: (service) => this.#channels.of(service),
       pressureOf: (service, route) => this.#channels.pressureOf(service, route),
       onNestedCall: (call) => this.#graph.note(call),
@@ -174,6 +175,7 @@
     options.metrics?.gauge("calls_waiting", () => this.#load().waiting);
     options.metrics?.gauge("slots", () => this.#load().slots);
     options.metrics?.gauge("pressure", () => this.#pressure);
+    options.metrics?.gauge("repeats_left", () => this.#repeats.left);
     options.metrics?.gauge("store_silent_ms", () => this.#store.silentMs);
     options.metrics?.gauge(
       "configuration_version",
@@ -279,12 +281,11 @@
     this.#options.log.write("info", "node_stopped", { node });
   }
 
-  // A node that has just started knows few others and must not take their part.
+  // A node that has just started knows few workers and must not take their part.
   #ownRetryConstant(): number {
-    const { size } = this.#directory;
-    return size < 2
-      ? 0
-      : OWN_RETRY_SHARE * this.#settings.retries.constant / size;
+    const { retries, service } = this.#settings;
+    const { length } = this.#directory.ofService(service);
+    return length < 2 ? 0 : OWN_RETRY_SHARE * retries.constant / length;
   }
 
   #isIdle(): boolean {
--- a/packages/sidecar/worker_channels_test.ts
+++ b/packages/sidecar/worker_channels_test.ts
@@ -5,6 +5,7 @@
 import { LocalChannel } from "@oleanderdeck/calling";
 import { WorkerDirectory } from "@oleanderdeck/directory";
 import { acceptedLinkSocket, Link, type LoadReport } from "@oleanderdeck/hop";
+import { RepeatBudget } from "@oleanderdeck/retries";
 import { EventLog } from "@oleanderdeck/observability";
 import {
   WorkerConnections,
@@ -38,6 +39,12 @@
     tracker: new WorkerTracker(),
     connections,
     names: TEST_NAMES,
+    repeats: new RepeatBudget({
+      ratio: () => 0,
+      constant: () => 0,
+      windowMs: 10_000,
+      now: () => performance.now(),
+    }),
   });
   const hello = () => ({
     kind: "hello" as const,
