Share the constant of the repeat bound so that its parts never exceed it

Cause: a node took the constant divided by the workers that it knew at the moment, from its first second on. Each life of a killed node took its part anew, a worker that joined took one while the others still used the larger parts of before, and nodes that knew different fleets divided by different numbers.

Change: ConstantShare. A process uses no part for a span and the time within which the others learn of it; a part is the constant divided by the greatest number of workers known in the last span, and none is used while the records of the store are not followed. Ruled out: no constant at all (small services could never repeat), a counter in the store (a call for each repeat).

Tests, failing first: 'a node that has just started uses none of the constant' (4 repeats before, 0 now).

--- a/packages/sidecar/repeat_bound_test.ts
+++ b/packages/sidecar/repeat_bound_test.ts
@@ -98,3 +98,13 @@
   expect(ledger.repeatsOf("members")).toBeGreaterThan(20);
   expectBound();
 });
+
+// Guards against lives of a node that each use their part of the constant anew.
+test("a node that has just started uses none of the constant", async () => {
+  const [host] = await started();
+  losing = "members";
+  await Promise.all(
+    Array.from({ length: 4 }, () => fleet.call(host!, "/members/")),
+  );
+  expect(ledger.repeatsOf("members")).toBe(0);
+});
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -12,7 +12,7 @@
   RoutePressure,
 } from "@oleanderdeck/hop";
 import type { EventLog, MetricsPage } from "@oleanderdeck/observability";
-import { RepeatBudget } from "@oleanderdeck/retries";
+import { ConstantShare, RepeatBudget } from "@oleanderdeck/retries";
 import {
   type HeaderNames,
   OverloadMeter,
@@ -27,7 +27,7 @@
 import { PeerServer } from "./peer_server.ts";
 import type { RequestObserver } from "./request_observer.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
-import { StoreFollower } from "./store_follower.ts";
+import { NOTICE_MS, StoreFollower } from "./store_follower.ts";
 import { WorkerChannels } from "./worker_channels.ts";
 
 /** Time between two checks of links and load, in milliseconds. */
@@ -86,6 +86,7 @@
   readonly #configuration = new ConfigurationHolder();
   readonly #tracker = new WorkerTracker();
   readonly #connections: WorkerConnections;
+  readonly #repeatConstant: ConstantShare;
   readonly #repeats: RepeatBudget;
   readonly #gate: WorkerGate;
   readonly #edge: CallerEdge;
@@ -107,9 +108,15 @@
     this.#options = options;
     const { names, records, log, settings } = options;
     this.#settings = settings;
+    this.#repeatConstant = new ConstantShare({
+      constant: () => OWN_RETRY_SHARE * this.#settings.retries.constant,
+      windowMs: settings.retries.windowMs,
+      noticeMs: NOTICE_MS,
+      now: () => performance.now(),
+    });
     this.#repeats = new RepeatBudget({
       ratio: () => OWN_RETRY_SHARE * this.#settings.retries.ratio,
-      constant: () => this.#ownRetryConstant(),
+      constant: () => this.#store.hasRecords ? this.#repeatConstant.value : 0,
       windowMs: settings.retries.windowMs,
       now: () => performance.now(),
     });
@@ -281,13 +288,6 @@
     this.#options.log.write("info", "node_stopped", { node });
   }
 
-  // A node that has just started knows few workers and must not take their part.
-  #ownRetryConstant(): number {
-    const { retries, service } = this.#settings;
-    const { length } = this.#directory.ofService(service);
-    return length < 2 ? 0 : OWN_RETRY_SHARE * retries.constant / length;
-  }
-
   #isIdle(): boolean {
     return this.#edge.unfinished === 0 && this.#gate.unfinished === 0;
   }
@@ -364,8 +364,17 @@
     }
   }
 
+  #noteWorkers(): void {
+    const { node, service } = this.#settings;
+    const others = this.#directory.ofService(service).filter((record) =>
+      record.node !== node
+    );
+    this.#repeatConstant.note(others.length + 1);
+  }
+
   #check(): void {
     this.#checkWorker();
+    this.#noteWorkers();
     this.#updatePressure();
     this.#peers.check();
     this.#peers.tellLoad();
--- a/packages/sidecar/store_follower.ts
+++ b/packages/sidecar/store_follower.ts
@@ -14,6 +14,18 @@
 /** Time for which changes of records are collected, in milliseconds. */
 const GROUP_CHANGES_MS = 500;
 
+/** Age up to which records are taken for those of the store, in milliseconds. */
+const RECORDS_AGE_MS = WATCH_WAIT_MS + 2_000;
+
+/** Age of the data that the store may answer with, in milliseconds. */
+const STALE_MS = 3_000;
+
+/**
+ * Time within which a node that follows the store learns of a new worker, in
+ * milliseconds.
+ */
+export const NOTICE_MS = RECORDS_AGE_MS + STALE_MS;
+
 /** First and longest pause after a failed call, in milliseconds. */
 const FIRST_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 500;
@@ -43,6 +55,7 @@
   #isClosed = false;
   #isAway = false;
   #contactAt = -Infinity;
+  #recordsAt = -Infinity;
 
   /** @param options Store and what is kept at its state. */
   constructor(options: StoreFollowerOptions) {
@@ -59,6 +72,11 @@
     return performance.now() - this.#contactAt;
   }
 
+  /** Whether the records of all workers are those of the store, or were lately. */
+  get hasRecords(): boolean {
+    return performance.now() - this.#recordsAt < RECORDS_AGE_MS;
+  }
+
   /** Starts the three tasks. */
   start(): void {
     void this.#followConfiguration();
@@ -134,6 +152,7 @@
           }
         }
         failures = 0;
+        this.#recordsAt = performance.now();
         this.#wake?.();
       } catch (error) {
         this.#noteFailure("records", error);
