Use the whole bound of repeats

Half of the bound was left unused as a margin for what nodes lost count of: the windows of buckets, the constant of restarted nodes and the calls of repeated runs. All three are counted where they arrive now, so the factor has no reason left. It also made the fault rarer instead of ending it.

--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -39,12 +39,6 @@
 /** Share of the process's memory that request bodies may use. */
 const HELD_BODIES_SHARE = 0.3;
 
-/**
- * Part of the fleet's retry bound that is used. The rest covers repeats whose
- * cause a restarted node no longer knows.
- */
-const OWN_RETRY_SHARE = 0.5;
-
 /** Time without requests that shows that callers have left, in milliseconds. */
 const QUIET_MS = 600;
 
@@ -109,13 +103,13 @@
     const { names, records, log, settings } = options;
     this.#settings = settings;
     this.#repeatConstant = new ConstantShare({
-      constant: () => OWN_RETRY_SHARE * this.#settings.retries.constant,
+      constant: () => this.#settings.retries.constant,
       windowMs: settings.retries.windowMs,
       noticeMs: NOTICE_MS,
       now: () => performance.now(),
     });
     this.#repeats = new RepeatBudget({
-      ratio: () => OWN_RETRY_SHARE * this.#settings.retries.ratio,
+      ratio: () => this.#settings.retries.ratio,
       constant: () => this.#store.hasRecords ? this.#repeatConstant.value : 0,
       windowMs: settings.retries.windowMs,
       now: () => performance.now(),
