Give the test fleet of each process a loopback address of its own

A run of two test files side by side failed once with EADDRINUSE on 127.0.0.1:45891: a free port is found by listening on it and closing again, and another process took it before the node listened. Each process now uses an address of 127.0.0.0/8 that follows from its process id. A host of the fleet may also name its data centre.

--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -18,6 +18,14 @@
   callerService: "x-caller-service",
 };
 
+/**
+ * Loopback address of this process, so that its free ports are not taken by the
+ * tests of another one before a node listens on them.
+ */
+const TEST_ADDRESS = `127.${1 + (process.pid >> 16) % 250}.${
+  (process.pid >> 8) & 255
+}.${1 + (process.pid & 127)}`;
+
 /** Bound of the repeats that all nodes of a test send to a service. */
 export const TEST_RETRIES: FleetRetryBound = {
   ratio: 0.2,
@@ -61,10 +69,10 @@
 
   async listen(): Promise<void> {
     await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", resolve)
+      this.#server.listen(0, TEST_ADDRESS, resolve)
     );
     const { port } = this.#server.address() as AddressInfo;
-    this.address = `127.0.0.1:${port}`;
+    this.address = `${TEST_ADDRESS}:${port}`;
   }
 
   close(): void {
@@ -81,6 +89,7 @@
   node: SidecarNode;
   readonly callPort: number;
   readonly linkPort: number;
+  readonly dataCentre: string;
   sequence: number;
 }
 
@@ -109,7 +118,11 @@
   });
 
   /** Adds a host and starts its worker and its node. */
-  async add(name: string, service: string): Promise<TestHost> {
+  async add(
+    name: string,
+    service: string,
+    { dataCentre = "wa-a" } = {},
+  ): Promise<TestHost> {
     const worker = new TestWorker();
     await worker.listen();
     this.#requests ??= await RequestLog.open({
@@ -124,7 +137,15 @@
       callPort,
       linkPort,
       sequence: 0,
-      node: this.#newNode({ name, service, worker, callPort, linkPort }),
+      dataCentre,
+      node: this.#newNode({
+        name,
+        service,
+        worker,
+        callPort,
+        linkPort,
+        dataCentre,
+      }),
     };
     this.hosts.set(name, host);
     await host.node.start();
@@ -184,15 +205,18 @@
     options: { id?: string; body?: string; timeLeftMs?: number } = {},
   ): Promise<TestAnswer> {
     const { id = `r${Math.random()}`, body, timeLeftMs = 2_000 } = options;
-    const answer = await request(`http://127.0.0.1:${host.callPort}${path}`, {
-      method: body === undefined ? "GET" : "POST",
-      headers: {
-        host: "test.example",
-        "x-request": id,
-        "x-time-left": String(timeLeftMs),
+    const answer = await request(
+      `http://${TEST_ADDRESS}:${host.callPort}${path}`,
+      {
+        method: body === undefined ? "GET" : "POST",
+        headers: {
+          host: "test.example",
+          "x-request": id,
+          "x-time-left": String(timeLeftMs),
+        },
+        ...(body !== undefined && { body }),
       },
-      ...(body !== undefined && { body }),
-    });
+    );
     return {
       status: answer.statusCode,
       body: await answer.body.text(),
@@ -210,7 +234,7 @@
   }
 
   #newNode(
-    { name, service, worker, callPort, linkPort }: Omit<
+    { name, service, worker, callPort, linkPort, dataCentre }: Omit<
       TestHost,
       "node" | "sequence"
     >,
@@ -226,11 +250,11 @@
       }),
       settings: {
         node: name,
-        dataCentre: "wa-a",
+        dataCentre,
         service,
         workerAddress: worker.address,
-        callAddress: { host: "127.0.0.1", port: callPort },
-        linkAddress: { host: "127.0.0.1", port: linkPort },
+        callAddress: { host: TEST_ADDRESS, port: callPort },
+        linkAddress: { host: TEST_ADDRESS, port: linkPort },
         memoryMb: 200,
         heartbeatMs: 1_000,
         graceMs: 3_000,
@@ -243,7 +267,7 @@
 function freePort(): Promise<number> {
   return new Promise((resolve) => {
     const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
+    server.listen(0, TEST_ADDRESS, () => {
       const { port } = server.address() as AddressInfo;
       server.close(() => resolve(port));
     });
