Send no repeat whose run or calls would be refused

Change: load reports carry the part of the repeats that is left and the routes whose calls reach a service with less than a quarter left, as the call graph knows them. A repeat goes only to a worker whose gate lets it and its calls through; the quarter is kept for repeats of the deeper service itself, which cost one call and save a whole chain.

Also: a repeat is logged and counted when it is sent; a failed request with no other worker was counted as repeated before.

--- a/packages/calling/_test_channel.ts
+++ b/packages/calling/_test_channel.ts
@@ -15,6 +15,8 @@
   failureShare: 0,
   pressure: 0,
   routePressures: [],
+  repeatShare: 1,
+  unrepeatableRoutes: [],
 };
 
 /** Channel whose outcomes a test decides. */
--- a/packages/calling/call_task.ts
+++ b/packages/calling/call_task.ts
@@ -1,5 +1,5 @@
 import { ERROR_ANSWERS, type ErrorKind } from "@oleanderdeck/errors";
-import type { HeaderLines } from "@oleanderdeck/hop";
+import type { HeaderLines, LoadReport } from "@oleanderdeck/hop";
 import type {
   GateTicket,
   WorkerFailure,
@@ -107,6 +107,8 @@
   #ticket: GateTicket | undefined;
   #node = "";
   #attempts = 0;
+  /** Attempts after which the request has been sent again. */
+  #repeats = 0;
   #refusals = 0;
   #mayHaveRun = false;
   /** Failure of a worker's own, passed on if no other worker gives more. */
@@ -133,7 +135,16 @@
 
   /** Sends the request to its first worker. */
   start(): void {
-    this.#send("no_worker");
+    const { isRepeat, service } = this.#request;
+    const hasWorkers = this.#options.channels(service).length > 0;
+    this.#send(isRepeat && hasWorkers ? "retry_limit" : "no_worker");
+  }
+
+  // A repeat goes only where the gate lets it and the calls of its run through.
+  #accepts({ repeatShare, unrepeatableRoutes }: LoadReport): boolean {
+    const { isRepeat, route } = this.#request;
+    if (this.#attempts === 0) return !isRepeat || repeatShare > 0;
+    return repeatShare > 0 && !unrepeatableRoutes.includes(route);
   }
 
   /** The caller has gone: the worker need not go on. */
@@ -150,8 +161,13 @@
       excluded: this.#tried,
       bytes: this.#request.body.length +
         (this.#options.answerBytes?.(service) ?? 0),
+      accepts: (load) => this.#accepts(load),
     });
     if (channel === undefined) return this.#refuse(lastError, retryAfterMs);
+    if (this.#attempts > this.#repeats) {
+      this.#repeats = this.#attempts;
+      this.#options.observer?.onRepeat(this.#request, lastError);
+    }
     this.#tried.add(channel.node);
     this.#node = channel.node;
     this.#options.observer?.onSent(this.#request, channel);
@@ -180,7 +196,7 @@
         this.#mayHaveRun = true;
         this.#failedAnswer = answer;
         this.#attempts++;
-        if (this.#takeRetry("worker_failed")) return this.#send("no_worker");
+        if (this.#mayRepeat()) return this.#send("worker_failed");
       }
       return this.#finish(answer);
     }
@@ -204,19 +220,17 @@
     }
     if (wasSent) {
       this.#attempts++;
-      if (!this.#takeRetry(error)) return this.#refuse(error, retryAfterMs);
+      if (!this.#mayRepeat()) return this.#refuse(error, retryAfterMs);
     } else if (isForWantOfRoom(error) && ++this.#refusals >= MAX_REFUSALS) {
       return this.#refuse(error, retryAfterMs);
     }
     this.#send(error, retryAfterMs);
   }
 
-  #takeRetry(reason: ErrorKind): boolean {
+  #mayRepeat(): boolean {
     const { deadline, maxAttempts } = this.#request;
-    const isAllowed = this.#attempts < maxAttempts &&
+    return this.#attempts < maxAttempts &&
       deadline - performance.now() > MIN_RETRY_TIME_MS;
-    if (isAllowed) this.#options.observer?.onRepeat(this.#request, reason);
-    return isAllowed;
   }
 
   #expire(): void {
--- a/packages/calling/call_task_test.ts
+++ b/packages/calling/call_task_test.ts
@@ -108,6 +108,40 @@
   });
 });
 
+// Guards against repeats that a gate refuses or whose calls gates refuse, so
+// that the work of the run is wasted.
+test("a repeat goes only where it and its calls are let through", async () => {
+  const lost = () => new TestChannel("a", always(LOST));
+  const spent = new TestChannel("b", always(answered()), {
+    holdMs: 200,
+    repeatShare: 0,
+  });
+  const short = new TestChannel("c", always(answered()), {
+    holdMs: 200,
+    unrepeatableRoutes: ["menu-read"],
+  });
+  const free = new TestChannel("d", always(answered()), { holdMs: 400 });
+  expect(await start([lost(), free, spent, short]).result)
+    .toMatchObject({ status: 200, worker: "d" });
+  expect(await start([lost(), spent, short]).result)
+    .toMatchObject({ status: 502, error: "connection_lost" });
+  expect(runs([spent, short])).toEqual([]);
+});
+
+// Guards against calls of repeated runs that pass as requests of their own.
+test("the calls of a repeated run are sent as repeats", async () => {
+  const channel = new TestChannel("a", always(answered()));
+  await start([channel], { request: { isRepeat: true } }).result;
+  expect(channel.calls[0]).toMatchObject({ isRepeat: true });
+});
+
+test("a call of a repeated run is refused where no repeat is left", async () => {
+  const spent = new TestChannel("a", always(answered()), { repeatShare: 0 });
+  const { result } = start([spent], { request: { isRepeat: true } });
+  expect(await result).toMatchObject({ status: 503, error: "retry_limit" });
+  expect(runs([spent])).toEqual([]);
+});
+
 // Guards against a status that promises 'not run' after a run.
 test("a lost request whose repeats are refused promises nothing", async () => {
   const lost = new TestChannel("a", always(LOST));
--- a/packages/calling/worker_choice.ts
+++ b/packages/calling/worker_choice.ts
@@ -1,3 +1,4 @@
+import type { LoadReport } from "@oleanderdeck/hop";
 import type { WorkerChannel } from "./worker_channel.ts";
 
 /**
@@ -24,6 +25,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Expected size of the request and its answer. */
   readonly bytes: number;
+  /** Whether a worker with a load may be chosen; any by default. */
+  readonly accepts?: (load: LoadReport) => boolean;
 }
 
 /**
@@ -41,6 +44,8 @@
   let least = Infinity;
   for (const channel of channels) {
     if (options.excluded.has(channel.node) || !channel.isReachable) continue;
+    const { load } = channel;
+    if (load !== undefined && options.accepts?.(load) === false) continue;
     const cost = expectedCostMs(channel, {
       crossingMs: channel.dataCentre === options.dataCentre
         ? 0
--- a/packages/hop/frame.ts
+++ b/packages/hop/frame.ts
@@ -22,6 +22,10 @@
    * the worker, with that overload.
    */
   readonly routePressures: readonly RoutePressure[];
+  /** Part of the repeats that the worker may get that is left, 0 to 1. */
+  readonly repeatShare: number;
+  /** Routes whose calls reach a service with few repeats left. */
+  readonly unrepeatableRoutes: readonly string[];
 }
 
 /** Overload of the services that requests of a route reach, 0 to 1. */
--- a/packages/hop/frame_codec.ts
+++ b/packages/hop/frame_codec.ts
@@ -33,6 +33,8 @@
   failureShare: number,
   pressure: number,
   routePressures: LoadReport["routePressures"],
+  repeatShare: number,
+  unrepeatableRoutes: LoadReport["unrepeatableRoutes"],
 ];
 
 function packLoad(load: LoadReport): LoadFields {
@@ -44,6 +46,8 @@
     load.failureShare,
     load.pressure,
     load.routePressures,
+    load.repeatShare,
+    load.unrepeatableRoutes,
   ];
 }
 
@@ -56,6 +60,8 @@
     failureShare: fields[4],
     pressure: fields[5],
     routePressures: fields[6],
+    repeatShare: fields[7],
+    unrepeatableRoutes: fields[8],
   };
 }
 
--- a/packages/hop/frame_codec_test.ts
+++ b/packages/hop/frame_codec_test.ts
@@ -14,6 +14,8 @@
   failureShare: 0.25,
   pressure: 0.5,
   routePressures: [["menu-read", 0.75]],
+  repeatShare: 0.5,
+  unrepeatableRoutes: ["menu-read"],
 };
 
 const call: Frame = {
--- a/packages/retries/repeat_budget.ts
+++ b/packages/retries/repeat_budget.ts
@@ -59,6 +59,12 @@
     return true;
   }
 
+  /** Part of the repeats of a span that is left, 0 to 1. */
+  get leftShare(): number {
+    const { left } = this;
+    return left < 1 ? 0 : left / (left + this.#repeats.sumOfLast(BUCKETS));
+  }
+
   /** Repeats that may be sent now; below 1 if there are none. */
   get left(): number {
     const { ratio, constant } = this.#options;
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -59,6 +59,12 @@
   onRepeatRefused(call: WorkerCall): void;
 }
 
+/** Part of a load report that the gate does not know by itself. */
+export type ReachedLoad = Pick<
+  LoadReport,
+  "pressure" | "routePressures" | "unrepeatableRoutes"
+>;
+
 /** A call that was handed to the gate. */
 export interface GateTicket {
   /**
@@ -96,6 +102,7 @@
   #refusedConnections = 0;
   #arrived = 0;
   #refused = 0;
+  #repeatShare = 1;
   #isClosed = false;
 
   /** @param options Worker, connections and header names. */
@@ -135,21 +142,17 @@
   /**
    * Present load.
    *
-   * @param pressure Overload of the worker, 0 to 1.
-   * @param routePressures Overload that the calls of its routes reach.
+   * @param reached Overload, and what the calls of the worker reach.
    */
-  loadWith(
-    pressure: number,
-    routePressures: LoadReport["routePressures"],
-  ): LoadReport {
+  loadWith(reached: ReachedLoad): LoadReport {
     return {
       running: this.#running,
       waiting: this.#queue.length,
       slots: this.isOpen ? this.#options.tracker.state.slots : 0,
       holdMs: Math.round(this.#holdMs),
       failureShare: Math.round(this.#failureShare * 100) / 100,
-      pressure,
-      routePressures,
+      repeatShare: this.#repeatShare,
+      ...reached,
     };
   }
 
@@ -196,6 +199,7 @@
     };
     this.#arrived = 0;
     this.#refused = 0;
+    this.#updateRepeatShare();
     return interval;
   }
 
@@ -237,6 +241,7 @@
     const { names, connections, observer, repeats, tracker } = this.#options;
     if (!call.isRepeat) repeats.countFirst();
     else if (!repeats.take()) return this.#refuseRepeat(entry);
+    else this.#updateRepeatShare();
     observer?.onRunning(call);
     // The worker stops by itself at the end of the time that it is told; an
     // exchange that lasts longer has lost its answer and would keep its slot.
@@ -320,10 +325,16 @@
   }
 
   #refuseRepeat(entry: Entry): void {
+    this.#updateRepeatShare();
     this.#options.observer?.onRepeatRefused(entry.call);
     this.#refuse(entry, "retry_limit");
   }
 
+  #updateRepeatShare(): void {
+    const { leftShare } = this.#options.repeats;
+    this.#repeatShare = Math.round(leftShare * 100) / 100;
+  }
+
   #refuse(entry: Entry, error: ErrorKind): void {
     if (error === "queue_full") this.#refused++;
     entry.finish({
--- a/packages/sidecar/call_graph.ts
+++ b/packages/sidecar/call_graph.ts
@@ -37,13 +37,35 @@
     pressureOf: (service: string, route: string) => number,
     least: number,
   ): readonly RoutePressure[] {
-    const since = performance.now() - EDGE_MS;
-    return [...this.#edges].flatMap(([parentRoute, edges]) => {
-      const reached = [...edges.values()]
-        .filter(({ seenAt }) => seenAt > since)
-        .map(({ call }) => pressureOf(call.service, call.route));
+    return this.#recentCalls().flatMap(([parentRoute, calls]) => {
+      const reached = calls.map(({ route, service }) =>
+        pressureOf(service, route)
+      );
       const pressure = Math.round(Math.max(0, ...reached) * 100) / 100;
       return pressure > least ? [[parentRoute, pressure] as const] : [];
     });
   }
+
+  /**
+   * Routes with a call for which a condition holds.
+   *
+   * @param isMeant Condition on the service and the route of a call.
+   */
+  routesThatReach(
+    isMeant: (service: string, route: string) => boolean,
+  ): readonly string[] {
+    return this.#recentCalls()
+      .filter(([, calls]) =>
+        calls.some(({ route, service }) => isMeant(service, route))
+      )
+      .map(([parentRoute]) => parentRoute);
+  }
+
+  #recentCalls(): readonly (readonly [string, readonly NestedCall[]])[] {
+    const since = performance.now() - EDGE_MS;
+    return [...this.#edges].map(([parentRoute, edges]) => {
+      const recent = [...edges.values()].filter(({ seenAt }) => seenAt > since);
+      return [parentRoute, recent.map(({ call }) => call)] as const;
+    });
+  }
 }
--- a/packages/sidecar/call_graph_test.ts
+++ b/packages/sidecar/call_graph_test.ts
@@ -12,6 +12,17 @@
   ]]);
 });
 
+test("a route reaches what one of its calls reaches", () => {
+  const graph = new CallGraph();
+  graph.note({ parentRoute: "book", route: "status", service: "uploads" });
+  graph.note({ parentRoute: "book", route: "diet", service: "members" });
+  graph.note({ parentRoute: "read", route: "check", service: "bookings" });
+  expect(graph.routesThatReach((service) => service === "members"))
+    .toEqual(["book"]);
+  expect(graph.routesThatReach((_service, route) => route === "check"))
+    .toEqual(["read"]);
+});
+
 // Guards against requests that are shed for a service which they never reach.
 test("a route without calls has no pressure but the worker's", () => {
   const graph = new CallGraph();
--- a/packages/sidecar/peer_server.ts
+++ b/packages/sidecar/peer_server.ts
@@ -138,6 +138,7 @@
 
 function isNoteworthy(load: LoadReport, told: LoadReport): boolean {
   if (load.slots !== told.slots) return true;
+  if ((load.repeatShare > 0) !== (told.repeatShare > 0)) return true;
   if (Math.abs(load.pressure - told.pressure) >= TOLD_PRESSURE_STEP) {
     return true;
   }
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -5,17 +5,13 @@
   WorkerDirectory,
   type WorkerRecord,
 } from "@oleanderdeck/directory";
-import type {
-  Frame,
-  HelloFrame,
-  LoadReport,
-  RoutePressure,
-} from "@oleanderdeck/hop";
+import type { Frame, HelloFrame, LoadReport } from "@oleanderdeck/hop";
 import type { EventLog, MetricsPage } from "@oleanderdeck/observability";
 import { ConstantShare, RepeatBudget } from "@oleanderdeck/retries";
 import {
   type HeaderNames,
   OverloadMeter,
+  type ReachedLoad,
   WorkerConnections,
   WorkerGate,
   type WorkerStatement,
@@ -57,6 +53,12 @@
 /** Share of the time for a stop after which no request is begun. */
 const LAST_REQUEST_SHARE = 0.5;
 
+const NOTHING_REACHED: ReachedLoad = {
+  pressure: 0,
+  routePressures: [],
+  unrepeatableRoutes: [],
+};
+
 /** Options of {@linkcode SidecarNode}. */
 export interface SidecarNodeOptions {
   readonly settings: SidecarSettings;
@@ -90,8 +92,7 @@
   readonly #knowledge: KnowledgeExchange;
   readonly #meter = new OverloadMeter();
   readonly #graph = new CallGraph();
-  #pressure = 0;
-  #routePressures: readonly RoutePressure[] = [];
+  #reached: ReachedLoad = NOTHING_REACHED;
   #settings: SidecarSettings;
   #tick: NodeJS.Timeout | undefined;
   #report: NodeJS.Timeout | undefined;
@@ -175,7 +176,7 @@
     options.metrics?.gauge("calls_running", () => this.#load().running);
     options.metrics?.gauge("calls_waiting", () => this.#load().waiting);
     options.metrics?.gauge("slots", () => this.#load().slots);
-    options.metrics?.gauge("pressure", () => this.#pressure);
+    options.metrics?.gauge("pressure", () => this.#reached.pressure);
     options.metrics?.gauge("repeats_left", () => this.#repeats.left);
     options.metrics?.gauge("store_silent_ms", () => this.#store.silentMs);
     options.metrics?.gauge(
@@ -287,16 +288,22 @@
   }
 
   #load(): LoadReport {
-    return this.#gate.loadWith(this.#pressure, this.#routePressures);
+    return this.#gate.loadWith(this.#reached);
   }
 
-  #updatePressure(): void {
+  #updateReached(): void {
     this.#meter.update(this.#gate.takeInterval());
-    this.#pressure = Math.round(this.#meter.pressure * 100) / 100;
-    this.#routePressures = this.#graph.pressures(
-      (service, route) => this.#channels.pressureOf(service, route),
-      this.#pressure,
-    );
+    const pressure = Math.round(this.#meter.pressure * 100) / 100;
+    this.#reached = {
+      pressure,
+      routePressures: this.#graph.pressures(
+        (service, route) => this.#channels.pressureOf(service, route),
+        pressure,
+      ),
+      unrepeatableRoutes: this.#graph.routesThatReach((service, route) =>
+        this.#channels.isShortOfRepeats(service, route)
+      ),
+    };
   }
 
   #hello(): HelloFrame {
@@ -369,7 +376,7 @@
   #check(): void {
     this.#checkWorker();
     this.#noteWorkers();
-    this.#updatePressure();
+    this.#updateReached();
     this.#peers.check();
     this.#peers.tellLoad();
     this.#channels.check();
--- a/packages/sidecar/worker_channels.ts
+++ b/packages/sidecar/worker_channels.ts
@@ -7,6 +7,12 @@
 import type { Frame, HelloFrame, LoadReport } from "@oleanderdeck/hop";
 import type { EventLog } from "@oleanderdeck/observability";
 
+/**
+ * Part of the repeats of a service that is kept from repeats of the services
+ * above it, each of which may cost it several calls.
+ */
+const KEPT_REPEAT_SHARE = 0.25;
+
 /** Options of {@linkcode WorkerChannels}. */
 export interface WorkerChannelsOptions {
   readonly directory: WorkerDirectory;
@@ -56,6 +62,22 @@
     return least === Infinity ? 0 : least;
   }
 
+  /**
+   * Whether the calls of a route to a service, or those that they lead to, would
+   * find few repeats left.
+   */
+  isShortOfRepeats(service: string, route: string): boolean {
+    const loads = this.of(service).flatMap(({ load }) =>
+      load === undefined || load.slots === 0 ? [] : [load]
+    );
+    if (loads.length === 0) return false;
+    const left = loads.map(({ repeatShare, unrepeatableRoutes }) =>
+      unrepeatableRoutes.includes(route) ? 0 : repeatShare
+    );
+    const sum = left.reduce((total, share) => total + share, 0);
+    return sum / loads.length < KEPT_REPEAT_SHARE;
+  }
+
   /** Opens the lost link to a peer that has shown that it runs. */
   reopen(node: string): void {
     this.#peers.get(node)?.reopen();
--- a/packages/sidecar/worker_channels_test.ts
+++ b/packages/sidecar/worker_channels_test.ts
@@ -23,6 +23,8 @@
   failureShare: 0,
   pressure: 0,
   routePressures: [],
+  repeatShare: 1,
+  unrepeatableRoutes: [],
 };
 
 const closers: (() => void)[] = [];
@@ -163,3 +165,19 @@
 test("a service without a report has no pressure", () => {
   expect(channels.pressureOf("members", "member-read")).toBe(0);
 });
+
+// Guards against repeats whose calls use up the repeats of a deeper service.
+test("a service is short of repeats when its workers have few left", async () => {
+  const isShort = () => channels.isShortOfRepeats("members", "member-read");
+  expect(isShort()).toBe(false);
+  await addWorker("n1", { repeatShare: 0 });
+  expect(isShort()).toBe(true);
+  await addWorker("n2", { repeatShare: 0.8 });
+  expect(isShort()).toBe(false);
+});
+
+test("a route whose calls find few repeats is short of them itself", async () => {
+  await addWorker("n1", { unrepeatableRoutes: ["menu-upload"] });
+  expect(channels.isShortOfRepeats("members", "menu-upload")).toBe(true);
+  expect(channels.isShortOfRepeats("members", "member-read")).toBe(false);
+});
