Know a given-up run until its time has passed

Cause: the gate forgot a run as soon as it was given up, for example when its caller left. A worker that goes on with it makes calls whose origin was then unknown, so calls of a repeat counted as requests of their own: they passed without the bound and earned further repeats.

Change: a run without an answer stays known until the time that the worker was told has passed. Test, failing first: 'a run that was given up is known until its time has passed' (undefined before).

--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -129,7 +129,8 @@
   }
 
   /**
-   * Finds the request that a call of the worker belongs to. The identity of
+   * Finds the request that a call of the worker belongs to, also if the request
+   * was given up and the worker may still run it. The identity of
    * such a call begins with that of the request, followed by a dot.
    *
    * @param requestId Identity of the call.
@@ -272,7 +273,7 @@
   #finish(entry: Entry, result: WorkerResult): void {
     clearTimeout(entry.timer);
     this.#running--;
-    this.#atWorker.delete(entry.call.requestId);
+    this.#forgetRun(entry, result);
     const isAnswer = result.kind === "answer";
     // Another worker gets the call as its first one.
     if (!isAnswer && !result.wasSent && !entry.call.isRepeat) {
@@ -300,6 +301,14 @@
     this.#startWaiting();
   }
 
+  // A worker may go on with a run that was given up until its time has passed.
+  #forgetRun({ call, arrivedAt }: Entry, result: WorkerResult): void {
+    const forget = () => this.#atWorker.delete(call.requestId);
+    if (result.kind === "answer" || !result.mayHaveRun) return void forget();
+    const left = call.timeLeftMs - (performance.now() - arrivedAt);
+    setTimeout(forget, left + LOST_ANSWER_MARGIN_MS).unref();
+  }
+
   #startWaiting(): void {
     while (
       this.isOpen && this.#running < this.#options.tracker.state.slots
--- a/packages/serving/worker_gate_test.ts
+++ b/packages/serving/worker_gate_test.ts
@@ -115,6 +115,29 @@
   expect(share()).toBe(0);
 });
 
+// Guards against calls of a repeated run that count as requests of their own
+// after its caller has gone.
+test("a run that was given up is known until its time has passed", async () => {
+  const { gate, run, arrived } = await start(2, { ratio: 0, constant: 1 });
+  const ticket = run("again", { isRepeat: true, timeLeftMs: 300 });
+  await arrived(1);
+  ticket.cancel();
+  await expect.poll(() => gate.unfinished).toBe(0);
+  expect(gate.parentOf("again.1")).toMatchObject({ isRepeat: true });
+  await expect.poll(() => gate.parentOf("again.1"), { timeout: 2_000 })
+    .toBeUndefined();
+});
+
+test("a run that was answered makes no more calls", async () => {
+  const { gate, run, arrived, answer, results } = await start(2);
+  run("whole");
+  await arrived(1);
+  expect(gate.parentOf("whole.1")).toMatchObject({ requestId: "whole" });
+  answer();
+  await expect.poll(() => results.has("whole")).toBe(true);
+  expect(gate.parentOf("whole.1")).toBeUndefined();
+});
+
 // Guards against repeats that wait and pass when others have used up the bound.
 test("a waiting repeat is held against the bound when it is sent", async () => {
   const { run, results, arrived, answer } = await start(1, {
