Cut answers of a worker that have no end

Change: unfinished answers may hold 0.15 of the memory of the process, and the largest is cut first, so that sound ones go on; an exchange whose connection has received far more bytes than its body explains is cut at the next check; an answer without a length, which was never passed on, is cut at its head. Cut answers fail as before: they may have run.

--- a/packages/serving/worker_connections.ts
+++ b/packages/serving/worker_connections.ts
@@ -1,4 +1,5 @@
-import { Client, type Dispatcher } from "undici";
+import type { Socket } from "node:net";
+import { buildConnector, Client, type Dispatcher } from "undici";
 import { type ReadHeader, readHeader } from "./header_lines.ts";
 import type { HeaderNames } from "./header_names.ts";
 import type { WorkerCall, WorkerResult } from "./worker_call.ts";
@@ -9,6 +10,13 @@
 /** Time for which an idle connection is kept without a hint of the worker. */
 const KEEP_ALIVE_MS = 4_000;
 
+/**
+ * Bytes that an answer may take beside its body, and for each byte of it. A
+ * chunk of one byte takes six.
+ */
+const MAX_OVERHEAD_BYTES = 65_536;
+const MAX_OVERHEAD_FACTOR = 8;
+
 /** Header fields that show where an answer ends. */
 const LENGTH_FIELDS = ["content-length", "transfer-encoding"] as const;
 
@@ -20,6 +28,8 @@
   /** Address of the worker as host:port. */
   readonly address: string;
   readonly names: HeaderNames;
+  /** Bytes of unfinished answers that may be held at the same time. */
+  readonly maxHeldBytes: () => number;
 }
 
 /** A call on its way through a connection. */
@@ -37,8 +47,11 @@
   readonly #options: WorkerConnectionsOptions;
   readonly #wanted: ReadonlySet<string>;
   readonly #dropped: ReadonlySet<string>;
-  #idle: Client[] = [];
-  readonly #all = new Set<Client>();
+  readonly #connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  #idle: WorkerConnection[] = [];
+  readonly #all = new Set<WorkerConnection>();
+  readonly #exchanges = new Set<Exchange>();
+  #heldBytes = 0;
 
   /** @param options Address of the worker and header names. */
   constructor(options: WorkerConnectionsOptions) {
@@ -61,19 +74,23 @@
     call: WorkerCall,
     finish: (result: WorkerResult) => void,
   ): WorkerExchange {
-    const client = this.#idle.shift() ?? this.#open();
+    const connection = this.#idle.shift() ?? this.#open();
     const exchange = new Exchange(call, {
       names: this.#options.names,
       wanted: this.#wanted,
       dropped: this.#dropped,
+      connection,
+      onHeld: (bytes) => this.#hold(bytes),
       finish: (result) => {
-        if (exchange.isReusable && this.#all.has(client)) {
-          this.#idle.push(client);
-        } else this.#discard(client);
+        this.#exchanges.delete(exchange);
+        if (exchange.isReusable && this.#all.has(connection)) {
+          this.#idle.push(connection);
+        } else this.#discard(connection);
         finish(result);
       },
     });
-    client.dispatch({
+    this.#exchanges.add(exchange);
+    connection.client.dispatch({
       method: call.method as Dispatcher.HttpMethod,
       path: call.target,
       headers: call.headers as string[],
@@ -82,49 +99,84 @@
     return exchange;
   }
 
+  /** Bytes of unfinished answers that are held. */
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
+  /** Cuts answers whose bytes are no answer; called a few times a second. */
+  check(): void {
+    this.#exchanges.forEach((exchange) => exchange.check());
+  }
+
   /** Closes the idle connections, for a worker that has been replaced. */
   forgetIdle(): void {
-    this.#idle.forEach((client) => this.#discard(client));
+    this.#idle.forEach((connection) => this.#discard(connection));
     this.#idle = [];
   }
 
   /** Closes all connections. */
   close(): void {
     this.#idle = [];
-    [...this.#all].forEach((client) => this.#discard(client));
+    [...this.#all].forEach((connection) => this.#discard(connection));
+  }
+
+  // The largest answer gives way, so that one without end cuts no others.
+  #hold(bytes: number): void {
+    this.#heldBytes += bytes;
+    if (this.#heldBytes <= this.#options.maxHeldBytes()) return;
+    const [largest] = [...this.#exchanges].sort((one, other) =>
+      other.heldBytes - one.heldBytes
+    );
+    largest?.cut("The answer is too long");
   }
 
-  #open(): Client {
-    const client = new Client(`http://${this.#options.address}`, {
+  #open(): WorkerConnection {
+    const client: Client = new Client(`http://${this.#options.address}`, {
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: (options, callback) =>
+        this.#connect(options, (error, socket) => {
+          if (error !== null) return callback(error, null);
+          connection.socket = socket!;
+          callback(null, socket!);
+        }),
       keepAliveTimeout: KEEP_ALIVE_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
     });
+    const connection: WorkerConnection = { client, socket: undefined };
     client.on("disconnect", () => {
-      const index = this.#idle.indexOf(client);
+      const index = this.#idle.indexOf(connection);
       if (index < 0) return;
       this.#idle.splice(index, 1);
-      this.#discard(client);
+      this.#discard(connection);
     });
-    this.#all.add(client);
-    return client;
+    this.#all.add(connection);
+    return connection;
   }
 
-  #discard(client: Client): void {
-    if (!this.#all.delete(client)) return;
+  #discard(connection: WorkerConnection): void {
+    if (!this.#all.delete(connection)) return;
     // The promise rejects only if the client was destroyed before.
-    client.destroy().catch(() => undefined);
+    connection.client.destroy().catch(() => undefined);
   }
 }
 
+interface WorkerConnection {
+  readonly client: Client;
+  /** Undefined until the connection is open. */
+  socket: Socket | undefined;
+}
+
 interface ExchangeOptions {
   readonly names: HeaderNames;
   /** Header fields of an answer that are looked at, in lower case. */
   readonly wanted: ReadonlySet<string>;
   /** Header fields that the caller's node sets anew, in lower case. */
   readonly dropped: ReadonlySet<string>;
+  readonly connection: WorkerConnection;
+  /** Called when more or fewer bytes of the answer are held. */
+  readonly onHeld: (bytes: number) => void;
   readonly finish: (result: WorkerResult) => void;
 }
 
@@ -135,6 +187,9 @@
   readonly #chunks: Buffer[] = [];
   #controller: Dispatcher.DispatchController | undefined;
   #status = 0;
+  #heldBytes = 0;
+  /** Bytes that the connection had received before the request. */
+  #receivedBefore = 0;
   #header: ReadHeader = { lines: [], values: new Map() };
   #isWrongAnswer = false;
   #hasLength = false;
@@ -152,6 +207,27 @@
     return this.#isReusable;
   }
 
+  /** Bytes of the answer's body that are held. */
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
+  /** Cuts the answer if its bytes have long been no part of one. */
+  check(): void {
+    const { socket } = this.#options.connection;
+    if (socket === undefined || this.#controller === undefined) return;
+    const received = socket.bytesRead - this.#receivedBefore;
+    const most = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_FACTOR * this.#heldBytes;
+    if (received > most) this.cut("The bytes are no answer");
+  }
+
+  /** Ends the exchange and its connection, since the answer is of no use. */
+  cut(reason: string): void {
+    if (this.#isDone) return;
+    this.#isWrongAnswer = true;
+    this.#controller?.abort(new Error(reason));
+  }
+
   cancel(): void {
     if (this.#isDone) return;
     this.#isCancelled = true;
@@ -167,6 +243,7 @@
       return;
     }
     this.#controller = controller;
+    this.#receivedBefore = this.#options.connection.socket?.bytesRead ?? 0;
   }
 
   onResponseStart(
@@ -180,6 +257,8 @@
     const { values } = this.#header;
     this.#hasLength = LENGTH_FIELDS.some((name) => values.has(name)) ||
       BODILESS_STATUSES.includes(status) || this.#call.method === "HEAD";
+    // It could not be told from one that is cut off, and may have no end.
+    if (!this.#hasLength) return this.cut("The answer has no length");
     const echoed = values.get(this.#options.names.requestId.toLowerCase());
     if (echoed !== undefined && echoed !== this.#call.requestId) {
       this.#isWrongAnswer = true;
@@ -191,13 +270,14 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    if (this.#isWrongAnswer) return;
     this.#chunks.push(chunk);
+    this.#heldBytes += chunk.length;
+    this.#options.onHeld(chunk.length);
   }
 
   onResponseEnd(): void {
     if (this.#isDone) return;
-    // An answer without a length ends like one that was cut off.
-    if (!this.#hasLength) return this.#fail(true);
     this.#isReusable = true;
     const { names } = this.#options;
     const { lines, values } = this.#header;
@@ -246,6 +326,7 @@
 
   #finish(result: WorkerResult): void {
     this.#isDone = true;
+    this.#options.onHeld(-this.#heldBytes);
     this.#options.finish(result);
   }
 }
--- a/packages/serving/worker_connections_test.ts
+++ b/packages/serving/worker_connections_test.ts
@@ -16,6 +16,7 @@
   const connections = new WorkerConnections({
     address: await worker.listen(),
     names: TEST_NAMES,
+    maxHeldBytes: () => 1_000_000,
   });
   closers.push(() => connections.close(), () => worker.close());
   const send = (requestId: string) =>
--- a/packages/serving/worker_gate_test.ts
+++ b/packages/serving/worker_gate_test.ts
@@ -31,7 +31,11 @@
   const waiting: ReceivedRequest[] = [];
   const worker = new RawWorker((request) => void waiting.push(request));
   const address = await worker.listen();
-  const connections = new WorkerConnections({ address, names: TEST_NAMES });
+  const connections = new WorkerConnections({
+    address,
+    names: TEST_NAMES,
+    maxHeldBytes: () => 1_000_000,
+  });
   const tracker = new WorkerTracker();
   const gate = new WorkerGate({
     tracker,
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -29,6 +29,9 @@
 /** Time between two checks of links and load, in milliseconds. */
 const TICK_MS = 250;
 
+/** Share of the process's memory that unfinished answers may use. */
+const HELD_ANSWERS_SHARE = 0.15;
+
 /** Time between two reports of the repeats at the worker, in milliseconds. */
 const REPEATS_REPORT_MS = 1_000;
 
@@ -118,6 +121,7 @@
     this.#connections = new WorkerConnections({
       address: settings.workerAddress,
       names,
+      maxHeldBytes: () => this.#memoryShare(HELD_ANSWERS_SHARE),
     });
     this.#gate = new WorkerGate({
       tracker: this.#tracker,
@@ -159,8 +163,7 @@
       channels: (service) => this.#channels.of(service),
       pressureOf: (service, route) => this.#channels.pressureOf(service, route),
       onNestedCall: (call) => this.#graph.note(call),
-      maxHeldBytes: () =>
-        this.#settings.memoryMb * 1024 * 1024 * HELD_BODIES_SHARE,
+      maxHeldBytes: () => this.#memoryShare(HELD_BODIES_SHARE),
       parentOf: (requestId) => this.#gate.parentOf(requestId),
       mayBeOutdated: () => this.#store.isAway,
       ...(options.observer && { observer: options.observer }),
@@ -365,6 +368,10 @@
     }
   }
 
+  #memoryShare(share: number): number {
+    return this.#settings.memoryMb * 1024 * 1024 * share;
+  }
+
   #noteWorkers(): void {
     const { node, service } = this.#settings;
     const others = this.#directory.ofService(service).filter((record) =>
@@ -375,6 +382,7 @@
 
   #check(): void {
     this.#checkWorker();
+    this.#connections.check();
     this.#noteWorkers();
     this.#updateReached();
     this.#peers.check();
--- a/packages/sidecar/worker_channels_test.ts
+++ b/packages/sidecar/worker_channels_test.ts
@@ -36,6 +36,7 @@
   const connections = new WorkerConnections({
     address: "127.0.0.1:1",
     names: TEST_NAMES,
+    maxHeldBytes: () => 1_000_000,
   });
   const gate = new WorkerGate({
     tracker: new WorkerTracker(),
--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -11,6 +11,7 @@
 Object.assign(Dispatcher.prototype, api);
 export { default as Client } from "undici/lib/dispatcher/client.js";
 export { default as Pool } from "undici/lib/dispatcher/pool.js";
+export { default as buildConnector } from "undici/lib/core/connect.js";
 `;
 
 const undiciClients = {
