Try a repeat once where none was left by the last report

Cause: reports of what is left are up to 250 ms old, and what a gate earns in between stayed unused, since callers left out each gate whose last report said that nothing was left.

Change: a repeat goes first to a gate with repeats left, else to one other, and is not sent on after that refusal. Of the repeats of a service a tenth instead of a quarter is kept from the repeats above it.

--- a/packages/calling/call_task.ts
+++ b/packages/calling/call_task.ts
@@ -8,10 +8,7 @@
 import type { WorkerChannel } from "./worker_channel.ts";
 import { chooseChannel } from "./worker_choice.ts";
 
-/**
- * Workers that may refuse a call for want of room, unsent, before the caller is
- * told.
- */
+/** Full workers that may refuse a call, unsent, before the caller is told. */
 const MAX_REFUSALS = 3;
 
 /** Time left below which a call is not sent again, in milliseconds. */
@@ -135,16 +132,29 @@
 
   /** Sends the request to its first worker. */
   start(): void {
-    const { isRepeat, service } = this.#request;
-    const hasWorkers = this.#options.channels(service).length > 0;
-    this.#send(isRepeat && hasWorkers ? "retry_limit" : "no_worker");
+    this.#send("no_worker");
+  }
+
+  #choose(accepts: (load: LoadReport) => boolean): WorkerChannel | undefined {
+    const { body, service } = this.#request;
+    return chooseChannel(this.#options.channels(service), {
+      dataCentre: this.#options.dataCentre,
+      excluded: this.#tried,
+      bytes: body.length + (this.#options.answerBytes?.(service) ?? 0),
+      accepts,
+    });
   }
 
-  // A repeat goes only where the gate lets it and the calls of its run through.
-  #accepts({ repeatShare, unrepeatableRoutes }: LoadReport): boolean {
-    const { isRepeat, route } = this.#request;
-    if (this.#attempts === 0) return !isRepeat || repeatShare > 0;
-    return repeatShare > 0 && !unrepeatableRoutes.includes(route);
+  // Whether a gate lets the request through, by its last report.
+  #isOpenFor(load: LoadReport): boolean {
+    const isRepeat = this.#request.isRepeat || this.#attempts > 0;
+    return (!isRepeat || load.repeatShare > 0) && this.#isOpenBelow(load);
+  }
+
+  // Whether the calls of the run would be let through, if it is a repeat.
+  #isOpenBelow({ unrepeatableRoutes }: LoadReport): boolean {
+    return this.#attempts === 0 ||
+      !unrepeatableRoutes.includes(this.#request.route);
   }
 
   /** The caller has gone: the worker need not go on. */
@@ -156,13 +166,8 @@
 
   #send(lastError: ErrorKind, retryAfterMs = DEFAULT_RETRY_AFTER_MS): void {
     const { requestId, service, deadline } = this.#request;
-    const channel = chooseChannel(this.#options.channels(service), {
-      dataCentre: this.#options.dataCentre,
-      excluded: this.#tried,
-      bytes: this.#request.body.length +
-        (this.#options.answerBytes?.(service) ?? 0),
-      accepts: (load) => this.#accepts(load),
-    });
+    const channel = this.#choose((load) => this.#isOpenFor(load)) ??
+      this.#choose((load) => this.#isOpenBelow(load));
     if (channel === undefined) return this.#refuse(lastError, retryAfterMs);
     if (this.#attempts > this.#repeats) {
       this.#repeats = this.#attempts;
@@ -221,7 +226,10 @@
     if (wasSent) {
       this.#attempts++;
       if (!this.#mayRepeat()) return this.#refuse(error, retryAfterMs);
-    } else if (isForWantOfRoom(error) && ++this.#refusals >= MAX_REFUSALS) {
+    } else if (
+      error === "retry_limit" ||
+      error === "queue_full" && ++this.#refusals >= MAX_REFUSALS
+    ) {
       return this.#refuse(error, retryAfterMs);
     }
     this.#send(error, retryAfterMs);
@@ -271,10 +279,6 @@
   }
 }
 
-function isForWantOfRoom(error: ErrorKind): boolean {
-  return error === "queue_full" || error === "retry_limit";
-}
-
 function lostKind(error: ErrorKind): ErrorKind {
   return ERROR_ANSWERS[error].run === "no" ? "connection_lost" : error;
 }
--- a/packages/sidecar/worker_channels.ts
+++ b/packages/sidecar/worker_channels.ts
@@ -11,7 +11,7 @@
  * Part of the repeats of a service that is kept from repeats of the services
  * above it, each of which may cost it several calls.
  */
-const KEPT_REPEAT_SHARE = 0.25;
+const KEPT_REPEAT_SHARE = 0.1;
 
 /** Options of {@linkcode WorkerChannels}. */
 export interface WorkerChannelsOptions {
