Split the sidecar node: load reports and the bound of repeats

The load that other nodes are told, with the call graph and the pressure, is LoadReporter now, the node's part in the bound of repeats FleetRepeatBound, and the options of the gate have a file of their own. No behaviour changes.

--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -13,4 +13,5 @@
 export * from "./worker_call.ts";
 export * from "./worker_connections.ts";
 export * from "./worker_gate.ts";
+export * from "./worker_gate_options.ts";
 export * from "./worker_state.ts";
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -1,16 +1,15 @@
 import type { ErrorKind } from "@oleanderdeck/errors";
 import type { LoadReport } from "@oleanderdeck/hop";
-import type { RepeatBudget } from "@oleanderdeck/retries";
 import type { GateInterval } from "./overload_meter.ts";
 import { isNestedRank } from "./rank.ts";
 import { RankedQueue } from "./ranked_queue.ts";
 import type { WorkerCall, WorkerResult } from "./worker_call.ts";
+import type { WorkerExchange } from "./worker_connections.ts";
 import type {
-  WorkerConnections,
-  WorkerExchange,
-} from "./worker_connections.ts";
-import type { HeaderNames } from "./header_names.ts";
-import type { WorkerTracker } from "./worker_state.ts";
+  GateTicket,
+  ReachedLoad,
+  WorkerGateOptions,
+} from "./worker_gate_options.ts";
 
 /** Weight of a new sample in the means of the gate. */
 const SAMPLE_WEIGHT = 0.05;
@@ -41,39 +40,6 @@
 /** Longest time that is named for a retry, in milliseconds. */
 const MAX_RETRY_AFTER_MS = 2_000;
 
-/** Options of {@linkcode WorkerGate}. */
-export interface WorkerGateOptions {
-  readonly tracker: WorkerTracker;
-  readonly connections: WorkerConnections;
-  readonly names: HeaderNames;
-  /** Bound of the repeats that the worker gets. */
-  readonly repeats: RepeatBudget;
-  readonly observer?: GateObserver;
-}
-
-/** Receives what the gate decides about repeats. */
-export interface GateObserver {
-  /** A call goes to the worker. */
-  onRunning(call: WorkerCall): void;
-  /** A call is refused because the bound of repeats is reached. */
-  onRepeatRefused(call: WorkerCall): void;
-}
-
-/** Part of a load report that the gate does not know by itself. */
-export type ReachedLoad = Pick<
-  LoadReport,
-  "pressure" | "routePressures" | "unrepeatableRoutes"
->;
-
-/** A call that was handed to the gate. */
-export interface GateTicket {
-  /**
-   * Withdraws the call. The outcome still arrives unless the worker goes on
-   * with it.
-   */
-  readonly cancel: () => void;
-}
-
 interface Entry {
   readonly rank: number;
   readonly call: WorkerCall;
--- /dev/null
+++ b/packages/sidecar/load_reporter.ts
@@ -0,0 +1,71 @@
+import type { NestedCall } from "@oleanderdeck/calling";
+import type { LoadReport } from "@oleanderdeck/hop";
+import {
+  OverloadMeter,
+  type ReachedLoad,
+  type WorkerGate,
+} from "@oleanderdeck/serving";
+import { CallGraph } from "./call_graph.ts";
+import type { WorkerChannels } from "./worker_channels.ts";
+
+const NOTHING_REACHED: ReachedLoad = {
+  pressure: 0,
+  routePressures: [],
+  unrepeatableRoutes: [],
+};
+
+/** Options of {@linkcode LoadReporter}. */
+export interface LoadReporterOptions {
+  readonly gate: WorkerGate;
+  /** Ways to the services that the worker calls. */
+  readonly channels: () => WorkerChannels;
+}
+
+/**
+ * Load of the own worker as other nodes are told it: that of its gate, and that
+ * of the services which its calls reach.
+ */
+export class LoadReporter {
+  readonly #options: LoadReporterOptions;
+  readonly #meter = new OverloadMeter();
+  readonly #graph = new CallGraph();
+  #reached = NOTHING_REACHED;
+
+  /** @param options Gate of the worker and ways to other services. */
+  constructor(options: LoadReporterOptions) {
+    this.#options = options;
+  }
+
+  /** Present load. */
+  get load(): LoadReport {
+    return this.#options.gate.loadWith(this.#reached);
+  }
+
+  /** Overload of the own worker, 0 to 1. */
+  get pressure(): number {
+    return this.#reached.pressure;
+  }
+
+  /** Notes a call of the worker. */
+  note(call: NestedCall): void {
+    this.#graph.note(call);
+  }
+
+  /** Takes the counts since the last call, and what other services report. */
+  update(): void {
+    const { gate } = this.#options;
+    const channels = this.#options.channels();
+    this.#meter.update(gate.takeInterval());
+    const pressure = Math.round(this.#meter.pressure * 100) / 100;
+    this.#reached = {
+      pressure,
+      routePressures: this.#graph.pressures(
+        (service, route) => channels.pressureOf(service, route),
+        pressure,
+      ),
+      unrepeatableRoutes: this.#graph.routesThatReach((service, route) =>
+        channels.isShortOfRepeats(service, route)
+      ),
+    };
+  }
+}
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -5,21 +5,19 @@
   WorkerDirectory,
   type WorkerRecord,
 } from "@oleanderdeck/directory";
-import type { Frame, HelloFrame, LoadReport } from "@oleanderdeck/hop";
+import type { Frame, HelloFrame } from "@oleanderdeck/hop";
 import type { EventLog, MetricsPage } from "@oleanderdeck/observability";
-import { ConstantShare, RepeatBudget } from "@oleanderdeck/retries";
 import {
   type HeaderNames,
-  OverloadMeter,
-  type ReachedLoad,
   WorkerConnections,
   WorkerGate,
   type WorkerStatement,
   WorkerTracker,
 } from "@oleanderdeck/serving";
 import { pause } from "./_pause.ts";
-import { CallGraph } from "./call_graph.ts";
+import { FleetRepeatBound } from "./fleet_repeat_bound.ts";
 import { type FrameSink, KnowledgeExchange } from "./knowledge_exchange.ts";
+import { LoadReporter } from "./load_reporter.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { RequestObserver } from "./request_observer.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
@@ -56,12 +54,6 @@
 /** Share of the time for a stop after which no request is begun. */
 const LAST_REQUEST_SHARE = 0.5;
 
-const NOTHING_REACHED: ReachedLoad = {
-  pressure: 0,
-  routePressures: [],
-  unrepeatableRoutes: [],
-};
-
 /** Options of {@linkcode SidecarNode}. */
 export interface SidecarNodeOptions {
   readonly settings: SidecarSettings;
@@ -85,17 +77,14 @@
   readonly #configuration = new ConfigurationHolder();
   readonly #tracker = new WorkerTracker();
   readonly #connections: WorkerConnections;
-  readonly #repeatConstant: ConstantShare;
-  readonly #repeats: RepeatBudget;
+  readonly #repeats: FleetRepeatBound;
   readonly #gate: WorkerGate;
   readonly #edge: CallerEdge;
   readonly #peers: PeerServer;
   readonly #store: StoreFollower;
   readonly #channels: WorkerChannels;
   readonly #knowledge: KnowledgeExchange;
-  readonly #meter = new OverloadMeter();
-  readonly #graph = new CallGraph();
-  #reached: ReachedLoad = NOTHING_REACHED;
+  readonly #reporter: LoadReporter;
   #settings: SidecarSettings;
   #tick: NodeJS.Timeout | undefined;
   #report: NodeJS.Timeout | undefined;
@@ -106,17 +95,11 @@
     this.#options = options;
     const { names, records, log, settings } = options;
     this.#settings = settings;
-    this.#repeatConstant = new ConstantShare({
-      constant: () => this.#settings.retries.constant,
-      windowMs: settings.retries.windowMs,
+    this.#repeats = new FleetRepeatBound({
+      settings: () => this.#settings,
+      directory: this.#directory,
+      hasRecords: () => this.#store.hasRecords,
       noticeMs: NOTICE_MS,
-      now: () => performance.now(),
-    });
-    this.#repeats = new RepeatBudget({
-      ratio: () => this.#settings.retries.ratio,
-      constant: () => this.#store.hasRecords ? this.#repeatConstant.value : 0,
-      windowMs: settings.retries.windowMs,
-      now: () => performance.now(),
     });
     this.#connections = new WorkerConnections({
       address: settings.workerAddress,
@@ -127,9 +110,13 @@
       tracker: this.#tracker,
       connections: this.#connections,
       names,
-      repeats: this.#repeats,
+      repeats: this.#repeats.budget,
       ...(options.observer && { observer: options.observer }),
     });
+    this.#reporter = new LoadReporter({
+      gate: this.#gate,
+      channels: () => this.#channels,
+    });
     this.#knowledge = new KnowledgeExchange({
       configuration: this.#configuration,
       directory: this.#directory,
@@ -141,7 +128,7 @@
         node: settings.node,
         dataCentre: settings.dataCentre,
         gate: this.#gate,
-        load: () => this.#load(),
+        load: () => this.#reporter.load,
       }),
       hello: () => this.#hello(),
       onFrame: (frame, channel) => this.#receive(frame, channel),
@@ -151,7 +138,7 @@
       service: settings.service,
       gate: this.#gate,
       hello: () => this.#hello(),
-      load: () => this.#load(),
+      load: () => this.#reporter.load,
       onFrame: (frame, link) => this.#receive(frame, link),
       ...(options.observer && { observer: options.observer }),
     });
@@ -162,7 +149,7 @@
       configuration: this.#configuration,
       channels: (service) => this.#channels.of(service),
       pressureOf: (service, route) => this.#channels.pressureOf(service, route),
-      onNestedCall: (call) => this.#graph.note(call),
+      onNestedCall: (call) => this.#reporter.note(call),
       maxHeldBytes: () => this.#memoryShare(HELD_BODIES_SHARE),
       parentOf: (requestId) => this.#gate.parentOf(requestId),
       mayBeOutdated: () => this.#store.isAway,
@@ -176,11 +163,11 @@
       node: settings.node,
       onOwnRecord: (record) => this.#adoptOwnRecord(record),
     });
-    options.metrics?.gauge("calls_running", () => this.#load().running);
-    options.metrics?.gauge("calls_waiting", () => this.#load().waiting);
-    options.metrics?.gauge("slots", () => this.#load().slots);
-    options.metrics?.gauge("pressure", () => this.#reached.pressure);
-    options.metrics?.gauge("repeats_left", () => this.#repeats.left);
+    options.metrics?.gauge("calls_running", () => this.#reporter.load.running);
+    options.metrics?.gauge("calls_waiting", () => this.#reporter.load.waiting);
+    options.metrics?.gauge("slots", () => this.#reporter.load.slots);
+    options.metrics?.gauge("pressure", () => this.#reporter.pressure);
+    options.metrics?.gauge("repeats_left", () => this.#repeats.budget.left);
     options.metrics?.gauge("store_silent_ms", () => this.#store.silentMs);
     options.metrics?.gauge(
       "configuration_version",
@@ -290,25 +277,6 @@
     return this.#edge.unfinished === 0 && this.#gate.unfinished === 0;
   }
 
-  #load(): LoadReport {
-    return this.#gate.loadWith(this.#reached);
-  }
-
-  #updateReached(): void {
-    this.#meter.update(this.#gate.takeInterval());
-    const pressure = Math.round(this.#meter.pressure * 100) / 100;
-    this.#reached = {
-      pressure,
-      routePressures: this.#graph.pressures(
-        (service, route) => this.#channels.pressureOf(service, route),
-        pressure,
-      ),
-      unrepeatableRoutes: this.#graph.routesThatReach((service, route) =>
-        this.#channels.isShortOfRepeats(service, route)
-      ),
-    };
-  }
-
   #hello(): HelloFrame {
     const { node, service } = this.#options.settings;
     return {
@@ -316,7 +284,7 @@
       node,
       service,
       configurationVersion: this.#configuration.version,
-      load: this.#load(),
+      load: this.#reporter.load,
     };
   }
 
@@ -372,19 +340,11 @@
     return this.#settings.memoryMb * 1024 * 1024 * share;
   }
 
-  #noteWorkers(): void {
-    const { node, service } = this.#settings;
-    const others = this.#directory.ofService(service).filter((record) =>
-      record.node !== node
-    );
-    this.#repeatConstant.note(others.length + 1);
-  }
-
   #check(): void {
     this.#checkWorker();
     this.#connections.check();
-    this.#noteWorkers();
-    this.#updateReached();
+    this.#repeats.check();
+    this.#reporter.update();
     this.#peers.check();
     this.#peers.tellLoad();
     this.#channels.check();
