Judge what is left of repeats over a whole span

Cause: the part of the repeats that a gate reports was 0 whenever none was left at the moment. After many repeats at once that is so while most of the span's repeats are unused, and the routes above were then taken for short of repeats for a quarter of a second or more: repeats that were allowed and would have got through were not sent.

Change: the reported part is what a whole span has not used, and a repeat asks three gates at most, as a call that finds full workers does.

--- a/packages/calling/call_task.ts
+++ b/packages/calling/call_task.ts
@@ -8,7 +8,10 @@
 import type { WorkerChannel } from "./worker_channel.ts";
 import { chooseChannel } from "./worker_choice.ts";
 
-/** Full workers that may refuse a call, unsent, before the caller is told. */
+/**
+ * Workers that may refuse a call for want of room, unsent, before the caller is
+ * told.
+ */
 const MAX_REFUSALS = 3;
 
 /** Time left below which a call is not sent again, in milliseconds. */
@@ -226,10 +229,7 @@
     if (wasSent) {
       this.#attempts++;
       if (!this.#mayRepeat()) return this.#refuse(error, retryAfterMs);
-    } else if (
-      error === "retry_limit" ||
-      error === "queue_full" && ++this.#refusals >= MAX_REFUSALS
-    ) {
+    } else if (isForWantOfRoom(error) && ++this.#refusals >= MAX_REFUSALS) {
       return this.#refuse(error, retryAfterMs);
     }
     this.#send(error, retryAfterMs);
@@ -279,6 +279,10 @@
   }
 }
 
+function isForWantOfRoom(error: ErrorKind): boolean {
+  return error === "queue_full" || error === "retry_limit";
+}
+
 function lostKind(error: ErrorKind): ErrorKind {
   return ERROR_ANSWERS[error].run === "no" ? "connection_lost" : error;
 }
--- a/packages/hop/frame.ts
+++ b/packages/hop/frame.ts
@@ -22,7 +22,7 @@
    * the worker, with that overload.
    */
   readonly routePressures: readonly RoutePressure[];
-  /** Part of the repeats that the worker may get that is left, 0 to 1. */
+  /** Part of the repeats that the worker may get that is not used, 0 to 1. */
   readonly repeatShare: number;
   /** Routes whose calls reach a service with few repeats left. */
   readonly unrepeatableRoutes: readonly string[];
--- a/packages/retries/repeat_budget.ts
+++ b/packages/retries/repeat_budget.ts
@@ -59,10 +59,17 @@
     return true;
   }
 
-  /** Part of the repeats of a span that is left, 0 to 1. */
-  get leftShare(): number {
-    const { left } = this;
-    return left < 1 ? 0 : left / (left + this.#repeats.sumOfLast(BUCKETS));
+  /**
+   * Part of the repeats of the last whole span that was not used, 0 to 1. It may
+   * be above 0 while no repeat is left at the moment, since too many came at
+   * once.
+   */
+  get unusedShare(): number {
+    const used = this.#repeats.sumOfLast(BUCKETS);
+    if (used === 0) return 1;
+    const { ratio, constant } = this.#options;
+    const limit = constant() + ratio() * this.#first.sumOfLast(BUCKETS);
+    return limit > used ? 1 - used / limit : 0;
   }
 
   /** Repeats that may be sent now; below 1 if there are none. */
--- a/packages/retries/repeat_budget_test.ts
+++ b/packages/retries/repeat_budget_test.ts
@@ -112,3 +112,25 @@
   time += WINDOW_MS + 500;
   expect(budget.take()).toBe(true);
 });
+
+// Guards against repeats that are given up for a span since many came at once.
+test("the unused part is that of a whole span", () => {
+  let time = 0;
+  const budget = new RepeatBudget({
+    ratio: () => RATIO,
+    constant: () => 0,
+    windowMs: WINDOW_MS,
+    now: () => time,
+  });
+  for (; time < 30_000; time += 10) budget.countFirst();
+  expect(budget.unusedShare).toBe(1);
+  while (budget.take());
+  expect(budget.left).toBeLessThan(1);
+  expect(budget.unusedShare).toBeGreaterThan(0.5);
+  const until = time + 2 * WINDOW_MS + 500;
+  for (; time < until; time += 10) {
+    budget.countFirst();
+    while (budget.take());
+  }
+  expect(budget.unusedShare).toBeLessThan(0.1);
+});
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -306,8 +306,8 @@
   }
 
   #updateRepeatShare(): void {
-    const { leftShare } = this.#options.repeats;
-    this.#repeatShare = Math.round(leftShare * 100) / 100;
+    const { unusedShare } = this.#options.repeats;
+    this.#repeatShare = Math.round(unusedShare * 100) / 100;
   }
 
   #refuse(entry: Entry, error: ErrorKind): void {
