--- a/packages/retries/repeat_budget.ts
+++ b/packages/retries/repeat_budget.ts
@@ -65,7 +65,7 @@
    * once.
    */
   get unusedShare(): number {
-    const used = this.#repeats.sumOfLast(BUCKETS);
+    const used = this.#repeats.sumOfLast(BUCKETS + 1);
     if (used === 0) return 1;
     const { ratio, constant } = this.#options;
     const limit = constant() + ratio() * this.#first.sumOfLast(BUCKETS);
