Log where each configuration came from and how long it took

The log named only the version, so the hypotheses of the incident could not be told apart: a version from the store, from its outdated data or from a peer, when a peer first named it, and how long the store had been silent by then.

--- a/packages/calling/_test_proxy.ts
+++ b/packages/calling/_test_proxy.ts
@@ -73,7 +73,7 @@
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 5_000,
     },
-  });
+  }, "store");
   const channel = new TestChannel("host-1", () => undefined);
   const ran: string[] = [];
   const unexpectedErrors: unknown[] = [];
--- a/packages/directory/configuration_holder.ts
+++ b/packages/directory/configuration_holder.ts
@@ -1,7 +1,16 @@
 import type { Configuration } from "./configuration.ts";
 
+/**
+ * Where a configuration was received from: the latest data of the platform's
+ * store, its data that may be some seconds old, or another node.
+ */
+export type ConfigurationSource = "store" | "outdated_store" | "peer";
+
 /** Called with each configuration that becomes the current one. */
-export type ConfigurationListener = (configuration: Configuration) => void;
+export type ConfigurationListener = (
+  configuration: Configuration,
+  source: ConfigurationSource,
+) => void;
 
 /**
  * Holds the current configuration, the newest version that this node has
@@ -35,13 +44,14 @@
   /**
    * Replaces the current configuration if the given one has a higher version.
    *
-   * @param configuration Configuration received from the store or a peer.
+   * @param configuration Configuration that was received.
+   * @param source Where it was received from.
    * @returns Whether the current configuration was replaced.
    */
-  put(configuration: Configuration): boolean {
+  put(configuration: Configuration, source: ConfigurationSource): boolean {
     if (configuration.version <= this.version) return false;
     this.#current = configuration;
-    this.#listeners.forEach((listener) => listener(configuration));
+    this.#listeners.forEach((listener) => listener(configuration, source));
     return true;
   }
 }
--- a/packages/directory/worker_directory_test.ts
+++ b/packages/directory/worker_directory_test.ts
@@ -58,7 +58,7 @@
     idleTimeoutMs: 1,
   };
   [4, 9, 7, 9].forEach((version) =>
-    holder.put({ version, routes: [], services: [], limits })
+    holder.put({ version, routes: [], services: [], limits }, "store")
   );
   expect(versions).toEqual([4, 9]);
 });
--- a/packages/sidecar/configuration_sync.ts
+++ b/packages/sidecar/configuration_sync.ts
@@ -116,7 +116,10 @@
         if (revision !== 0) gaps = 0;
         revision = stored.revision;
         if (stored.configuration !== undefined) {
-          configuration.put(stored.configuration);
+          configuration.put(
+            stored.configuration,
+            mayBeOutdated ? "outdated_store" : "store",
+          );
         }
       } catch (error) {
         availability.recordFailure("configuration", error);
--- a/packages/sidecar/peer_state_sync.ts
+++ b/packages/sidecar/peer_state_sync.ts
@@ -58,6 +58,8 @@
   readonly #options: PeerStateSyncOptions;
   /** Version that was requested last, and the time of the request. */
   #requested = { version: 0, at: -Infinity };
+  /** Newest version that a peer has named, and the time at which it did. */
+  #announced = { version: 0, at: -Infinity };
   #encoded: { version: number; body: Buffer } | undefined;
 
   /** @param options Configuration and directory that are exchanged. */
@@ -65,6 +67,16 @@
     this.#options = options;
   }
 
+  /**
+   * Returns the time since a peer named a version or a newer one, in
+   * milliseconds; infinite if none has.
+   */
+  sinceAnnounced(version: number): number {
+    return version <= this.#announced.version
+      ? performance.now() - this.#announced.at
+      : Infinity;
+  }
+
   /** Announces the version of this node's configuration. */
   get announcement(): VersionFrame {
     return {
@@ -86,6 +98,9 @@
   requestIfNewer(frame: HelloFrame | VersionFrame, peer: FrameSink): void {
     const { configurationVersion: version } = frame;
     const { configuration, isFollowing, isStoreUnavailable } = this.#options;
+    if (version > this.#announced.version) {
+      this.#announced = { version, at: performance.now() };
+    }
     if (version <= configuration.version || this.#isRequested(version)) return;
     this.#requested = { version, at: performance.now() };
     const isCurrentRelease = frame.kind === "version" && frame.followsStore;
@@ -158,6 +173,7 @@
   }
 
   #putConfiguration(received: unknown): void {
-    if (isConfiguration(received)) this.#options.configuration.put(received);
+    if (!isConfiguration(received)) return;
+    this.#options.configuration.put(received, "peer");
   }
 }
--- a/packages/sidecar/peer_state_sync_test.ts
+++ b/packages/sidecar/peer_state_sync_test.ts
@@ -27,7 +27,7 @@
 function start(state: { isFollowing?: boolean; version?: number } = {}) {
   const configuration = new ConfigurationHolder();
   const { isFollowing = false, version = 1 } = state;
-  if (version > 0) configuration.put(configurationOf(version));
+  if (version > 0) configuration.put(configurationOf(version), "store");
   const sync = new PeerStateSync({
     configuration,
     directory: new WorkerDirectory(),
@@ -72,7 +72,7 @@
   const { configuration, sync, sent, peer } = start({ isFollowing: true });
   sync.requestIfNewer(announcement(2), peer);
   vi.advanceTimersByTime(200);
-  configuration.put(configurationOf(2));
+  configuration.put(configurationOf(2), "store");
   vi.advanceTimersByTime(1_000);
   expect(sent).toEqual([]);
 });
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -221,8 +221,13 @@
       () => this.#configuration.version,
     );
     this.#tracker.onChange(() => this.#publishRecord());
-    this.#configuration.onChange(({ version }) => {
-      log.write("info", "configuration_taken", { version });
+    this.#configuration.onChange(({ version }, source) => {
+      log.write("info", "configuration_taken", {
+        version,
+        source,
+        announced_ms: Math.round(this.#peerStateSync.sinceAnnounced(version)),
+        store_silent_ms: Math.round(this.#storeSync.availability.silentMs),
+      });
       if (!this.#storeSync.configuration.isFollowing) return;
       const { announcement } = this.#peerStateSync;
       this.#peerServer.broadcast(announcement);
