Notice within 2.5 s that all watches of the configuration are silent

A node may lag for 3 s after such a disturbance. A watch of an elected node now lasts 2 s and 0.5 s more at most, then the configuration is read on a new connection and announced.

Cost: three instead of one and a half calls a second for a fleet, whatever its size.

--- a/packages/directory/platform_store.ts
+++ b/packages/directory/platform_store.ts
@@ -1,6 +1,12 @@
 import type { Configuration } from "./configuration.ts";
 import type { StoredRecord, WorkerRecord } from "./worker_record.ts";
 
+/**
+ * Time beyond the wait of a watch after which the watch fails if it has no
+ * answer, in milliseconds.
+ */
+export const WATCH_MARGIN_MS = 500;
+
 /** Change of one worker record. */
 export interface RecordChange {
   readonly node: string;
--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from "node:net";
 import { Writable } from "node:stream";
 import { request } from "undici";
-import type { Route } from "@oleanderdeck/directory";
+import type { PlatformStore, Route } from "@oleanderdeck/directory";
 import {
   EventLog,
   MetricsRegistry,
@@ -117,9 +117,18 @@
 /** Time within which the hosts of a test are started, in milliseconds. */
 export const START_TIMEOUT_MS = 10_000;
 
+/** Options of {@linkcode TestFleet}. */
+export interface TestFleetOptions {
+  /** Limit of the repeats in the settings of all nodes. */
+  readonly repeatLimit?: FleetRepeatLimitSettings;
+  /** Returns the store of a node in place of the in-memory one. */
+  readonly storeOf?: (node: string) => PlatformStore;
+}
+
 /** Hosts with nodes and workers that share an in-memory store. */
 export class TestFleet {
   readonly #repeatLimit: FleetRepeatLimitSettings;
+  readonly #storeOf: (node: string) => PlatformStore;
   readonly store = new TestStore();
   readonly hosts = new Map<string, TestHost>();
   /** Lines that all nodes have logged. */
@@ -136,9 +145,11 @@
     }),
   });
 
-  /** @param repeatLimit Limit of the repeats in the settings of all nodes. */
-  constructor(repeatLimit = TEST_REPEAT_LIMIT) {
-    this.#repeatLimit = repeatLimit;
+  /** @param options Settings and store of the nodes. */
+  constructor({ repeatLimit, storeOf }: TestFleetOptions = {}) {
+    this.#repeatLimit = repeatLimit ?? TEST_REPEAT_LIMIT;
+    this.#storeOf = storeOf ??
+      ((node) => new TestStoreClient(this.store, node));
   }
 
   /** Adds a host and starts its worker and its node. */
@@ -280,7 +291,7 @@
   ): SidecarNode {
     return new SidecarNode({
       headerNames: TEST_NAMES,
-      store: new TestStoreClient(this.store, name),
+      store: this.#storeOf(name),
       log: this.#log,
       onUnexpectedError: (error) => {
         throw error;
--- a/packages/sidecar/configuration_sync.ts
+++ b/packages/sidecar/configuration_sync.ts
@@ -1,6 +1,7 @@
-import type {
-  ConfigurationHolder,
-  PlatformStore,
+import {
+  type ConfigurationHolder,
+  type PlatformStore,
+  WATCH_MARGIN_MS,
 } from "@oleanderdeck/directory";
 import { backoffMs, MAX_GAP_BACKOFF_MS } from "./_backoff.ts";
 import { sleep } from "./_sleep.ts";
@@ -8,12 +9,10 @@
 
 /**
  * Longest duration of a watch by a node that announces the configuration, in
- * milliseconds. A store that has become silent is noticed after it.
+ * milliseconds. With its margin it is below the time after a disturbance for
+ * which nodes may lag, since all watches may have become silent at once.
  */
-const WATCH_WAIT_MS = 4_000;
-
-/** Time beyond a watch within which its answer arrives, in milliseconds. */
-const WATCH_MARGIN_MS = 1_000;
+const WATCH_WAIT_MS = 2_000;
 
 /** Longest duration of a watch that may be outdated, in milliseconds. */
 const OUTDATED_WATCH_WAIT_MS = 20_000;
--- a/packages/sidecar/repeat_limit_test.ts
+++ b/packages/sidecar/repeat_limit_test.ts
@@ -117,7 +117,9 @@
 test("a node that has just started uses none of the base repeats", async () => {
   // The requests of the start must not pay for repeats.
   await fleet.close();
-  fleet = new TestFleet({ ...TEST_REPEAT_LIMIT, ratio: 0 });
+  fleet = new TestFleet({
+    repeatLimit: { ...TEST_REPEAT_LIMIT, ratio: 0 },
+  });
   const [host] = await startFleet();
   answerLossService = "members";
   await Promise.all(
