Send a worker no more requests a second than it names in its answers

Workers in need got far more requests than the limit that they name, since nothing read it. All calls to a worker pass the gate beside it, so the gate now spaces them by the limit, in virtual time and with a small advance, before it looks for a slot. Queue, expected wait, retry delay and pressure follow from the scarcer of both, and the load report names the slots that the limit leaves, so that other workers are chosen.

A limit that is not a number is ignored and logged once. Open: a gate that is restarted does not know the limit until the worker's next answer.

--- a/packages/calling/_test_proxy.ts
+++ b/packages/calling/_test_proxy.ts
@@ -10,6 +10,7 @@
   answerSignature: "x-signature",
   expectedWorker: "x-expected-worker",
   notRun: "x-not-run",
+  requestsPerSecond: "x-requests-per-second",
   callerService: "x-caller-service",
 };
 
--- a/packages/serving/header_names.ts
+++ b/packages/serving/header_names.ts
@@ -10,6 +10,10 @@
   readonly expectedWorker: string;
   /** Present if the worker states that it did not run the request. */
   readonly notRun: string;
+  /**
+   * Number of requests a second that the worker takes from all hosts together.
+   */
+  readonly requestsPerSecond: string;
   /** Service of the worker that made the request. */
   readonly callerService: string;
 }
--- a/packages/serving/worker_connections.ts
+++ b/packages/serving/worker_connections.ts
@@ -27,6 +27,9 @@
 /** Code of undici's error for a request that HTTP does not allow. */
 const INVALID_REQUEST_CODE = "UND_ERR_INVALID_ARG";
 
+/** Status code of a worker that is not the one to which a call is addressed. */
+const REPLACED_STATUS = 421;
+
 /** Status codes of answers that have no body. */
 const BODILESS_STATUSES: readonly number[] = [204, 304];
 
@@ -71,11 +74,14 @@
   /** @param options Address of the worker, header names and memory limit. */
   constructor(options: WorkerConnectionsOptions) {
     this.#options = options;
-    const { answerSignature, notRun, requestId } = options.names;
+    const { answerSignature, notRun, requestId, requestsPerSecond } =
+      options.names;
     this.#dropped = new Set([requestId.toLowerCase()]);
     this.#wanted = new Set([
       ...LENGTH_HEADERS,
-      ...[answerSignature, notRun, requestId].map((name) => name.toLowerCase()),
+      ...[answerSignature, notRun, requestId, requestsPerSecond].map((name) =>
+        name.toLowerCase()
+      ),
     ]);
   }
 
@@ -84,11 +90,14 @@
    *
    * @param call Call with the headers for the worker.
    * @param finish Called once, with the outcome.
+   * @param onLimit Called with the limit that the worker names in the header of
+   * its answer; undefined if it names none.
    * @returns Handle that aborts the call.
    */
   send(
     call: WorkerCall,
     finish: (result: WorkerResult) => void,
+    onLimit: (limit: string | undefined) => void = () => {},
   ): ExchangeHandle {
     const connection = this.#takeIdle(call) ?? this.#open();
     const exchange = new Exchange(call, {
@@ -96,6 +105,7 @@
       wanted: this.#wanted,
       dropped: this.#dropped,
       connection,
+      onLimit,
       onHeldBytesChange: (bytes) => this.#addHeldBytes(bytes),
       finish: (result) => {
         this.#exchanges.delete(exchange);
@@ -222,6 +232,8 @@
    */
   readonly dropped: ReadonlySet<string>;
   readonly connection: WorkerConnection;
+  /** Called with the limit that the answer names, if any. */
+  readonly onLimit: (limit: string | undefined) => void;
   /** Called with the change of the number of buffered bytes of the answer. */
   readonly onHeldBytesChange: (bytes: number) => void;
   readonly finish: (result: WorkerResult) => void;
@@ -312,8 +324,12 @@
     // the identity of this request it proves nothing about it.
     const echoed = values.get(this.#options.names.requestId.toLowerCase());
     if (echoed !== this.#call.requestId) {
-      this.abort("Answer does not have the identity of its request");
+      return this.abort("Answer does not have the identity of its request");
     }
+    // Another worker than the expected one refuses the call with 421.
+    if (status === REPLACED_STATUS) return;
+    const { names, onLimit } = this.#options;
+    onLimit(values.get(names.requestsPerSecond.toLowerCase()));
   }
 
   onResponseData(
@@ -331,12 +347,14 @@
     this.#isReusable = true;
     const { names } = this.#options;
     const { forwarded, values } = this.#headers;
-    const isNotRun = this.#status === 421 ||
+    const isNotRun = this.#status === REPLACED_STATUS ||
       values.has(names.notRun.toLowerCase());
     if (isNotRun) {
       return this.#finish({
         kind: "failure",
-        error: this.#status === 421 ? "worker_replaced" : "worker_refused",
+        error: this.#status === REPLACED_STATUS
+          ? "worker_replaced"
+          : "worker_refused",
         mayHaveRun: false,
         wasSent: true,
         retryAfterMs: 0,
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -11,6 +11,7 @@
   DownstreamLoad,
   WorkerGateOptions,
 } from "./worker_gate_options.ts";
+import { WorkerLimit } from "./worker_limit.ts";
 
 /** Weight of a new sample in the exponential moving averages of the gate. */
 const SAMPLE_WEIGHT = 0.05;
@@ -76,13 +77,14 @@
 /**
  * Admission control in front of the worker beside this node; all calls to the
  * worker pass it. It sends at most as many calls at the same time as the worker
- * has slots, queues others by rank and refuses, unsent, those that would wait
- * too long. Repeats, which include the calls that the execution of a repeat
+ * has slots, and no more a second than the worker takes; it queues others by rank
+ * and refuses, unsent, those that would wait too long. Repeats, which include the calls that the execution of a repeat
  * makes, are limited by a budget.
  */
 export class WorkerGate {
   readonly #options: WorkerGateOptions;
   readonly #queue = new RankedQueue<PendingCall>();
+  readonly #limit: WorkerLimit;
   readonly #callsAtWorker = new Map<string, WorkerCall>();
   /** Requests during whose execution a call of the worker was refused. */
   readonly #refusedBelow = new WeakSet<WorkerCall>();
@@ -99,6 +101,7 @@
     windowMs: REPEAT_DEMAND_WINDOW_MS,
     now: () => performance.now(),
   });
+  #limitTimer: NodeJS.Timeout | undefined;
   #isClosed = false;
 
   /**
@@ -106,6 +109,10 @@
    */
   constructor(options: WorkerGateOptions) {
     this.#options = options;
+    this.#limit = new WorkerLimit({
+      ...options,
+      onChange: () => this.#startWaiting(),
+    });
     options.tracker.onChange(({ isReady }) => {
       if (!isReady) this.#refuseWaiting("draining");
     });
@@ -161,7 +168,7 @@
     return {
       running: this.#running,
       waiting: this.#queue.length,
-      slots: this.isOpen ? this.#options.tracker.state.slots : 0,
+      slots: this.isOpen ? this.#usableSlots : 0,
       holdMs: Math.round(this.#holdMs),
       failureShare: Math.round(this.#failureShare * 100) / 100,
       repeatShare: this.#unusedRepeatShare,
@@ -193,14 +200,28 @@
       this.#refuse(pending, this.#isClosed ? "draining" : "no_worker");
     } else if (call.isRepeat && !this.#mayAdmitRepeat(call)) {
       this.#refuseRepeat(pending);
-    } else if (
-      this.#running < this.#options.tracker.state.slots &&
-      this.#queue.length === 0
-    ) this.#start(pending);
-    else this.#enqueue(pending);
+    } else if (this.#queue.length === 0 && this.#startDelayMs === 0) {
+      this.#start(pending);
+    } else this.#enqueue(pending);
     return { cancel: () => this.#cancel(pending) };
   }
 
+  /** Slots that calls can occupy within the limit of the worker. */
+  get #usableSlots(): number {
+    const { slots } = this.#options.tracker.state;
+    return this.#limit.requests.usableSlots(slots, this.#holdMs);
+  }
+
+  /**
+   * Time until the next call may be sent, in milliseconds; infinite if all slots
+   * are in use.
+   */
+  get #startDelayMs(): number {
+    return this.#running < this.#options.tracker.state.slots
+      ? this.#limit.requests.waitMs(0)
+      : Infinity;
+  }
+
   #mayAdmitRepeat({ rank }: WorkerCall): boolean {
     const priority = priorityOfRank(rank);
     this.#repeatDemand.record(priority);
@@ -216,7 +237,7 @@
       running: this.#running,
       waitMs: this.#expectedWaitMs(Infinity),
       latencyTargetMs: this.#latencyTargetMs,
-      slots: this.#options.tracker.state.slots,
+      slots: this.#usableSlots,
     };
     this.#arrived = 0;
     this.#refused = 0;
@@ -243,13 +264,17 @@
       if (this.#queue.remove(pending)) this.#refuse(pending, "queue_full");
     }, maxWaitMs);
     this.#queue.push(pending);
+    this.#startWaiting();
   }
 
   #expectedWaitMs(rank: number): number {
     const { slots } = this.#options.tracker.state;
-    const callsAhead = this.#queue.lengthBefore(rank) + this.#running + 1 -
-      slots;
-    return Math.max(0, callsAhead) * this.#holdMs / Math.max(1, slots);
+    const waiting = this.#queue.lengthBefore(rank);
+    const callsAhead = Math.max(0, waiting + this.#running + 1 - slots);
+    return Math.max(
+      callsAhead * this.#holdMs / Math.max(1, slots),
+      this.#limit.requests.waitMs(waiting),
+    );
   }
 
   #start(pending: PendingCall): void {
@@ -273,23 +298,30 @@
       timeLeftMs + LOST_ANSWER_MARGIN_MS,
     );
     this.#running++;
+    this.#limit.requests.countCall();
     this.#callsAtWorker.set(call.requestId, call);
     pending.startedAt = now;
     let isFinished = false;
-    pending.exchange = connections.send({
-      ...call,
-      headers: [
-        ...call.headers,
-        names.timeLeftMs,
-        String(Math.floor(timeLeftMs)),
-        names.expectedWorker,
-        tracker.state.workerId,
-      ],
-    }, (result) => {
+    const { workerId } = tracker.state;
+    const finish = (result: WorkerResult) => {
       if (isFinished) return;
       isFinished = true;
       this.#finish(pending, result);
-    });
+    };
+    pending.exchange = connections.send(
+      {
+        ...call,
+        headers: [
+          ...call.headers,
+          names.timeLeftMs,
+          String(Math.floor(timeLeftMs)),
+          names.expectedWorker,
+          workerId,
+        ],
+      },
+      finish,
+      (limit) => this.#limit.observe(workerId, limit),
+    );
   }
 
   #finish(pending: PendingCall, result: WorkerResult): void {
@@ -340,13 +372,17 @@
   }
 
   #startWaiting(): void {
-    while (
-      this.isOpen && this.#running < this.#options.tracker.state.slots
-    ) {
+    clearTimeout(this.#limitTimer);
+    while (this.isOpen && this.#startDelayMs === 0) {
       const next = this.#queue.shift();
       if (next === undefined) return;
       this.#start(next);
     }
+    if (this.#queue.length === 0 || this.#startDelayMs === Infinity) return;
+    this.#limitTimer = setTimeout(
+      () => this.#startWaiting(),
+      this.#startDelayMs,
+    );
   }
 
   #cancel(pending: PendingCall): void {
--- a/packages/serving/worker_gate_options.ts
+++ b/packages/serving/worker_gate_options.ts
@@ -15,12 +15,32 @@
   readonly observer?: GateObserver;
 }
 
-/** Is notified of calls that are sent and of repeats that are refused. */
+/**
+ * Is notified of calls that are sent, of repeats that are refused and of the
+ * limits that the worker names.
+ */
 export interface GateObserver {
   /** Called when a call is about to be sent to the worker. */
   onRunning(call: WorkerCall): void;
   /** Called when a call is refused because the limit on repeats is reached. */
   onRepeatRefused(call: WorkerCall): void;
+  /**
+   * Called when the worker names another limit than before.
+   *
+   * @param workerId Identity of the worker.
+   * @param requestsPerSecond Its limit; undefined if it names none any more.
+   */
+  onLimitChanged(
+    workerId: string,
+    requestsPerSecond: number | undefined,
+  ): void;
+  /**
+   * Called once for a worker that names a limit which is not a number.
+   *
+   * @param workerId Identity of the worker.
+   * @param text Limit as the worker names it.
+   */
+  onMalformedLimit(workerId: string, text: string): void;
 }
 
 /** Fields of a load report that the gate cannot determine itself. */
--- a/packages/serving/worker_state.ts
+++ b/packages/serving/worker_state.ts
@@ -17,6 +17,11 @@
 /** State of the worker as its node sees it. */
 export interface WorkerState {
   readonly workerId: string;
+  /**
+   * Wall-clock time of the worker's start, in milliseconds since 1970; 0 if it
+   * is not known.
+   */
+  readonly startedAt: number;
   readonly slots: number;
   readonly isReady: boolean;
   /** Whether the worker has said that it stops. */
@@ -27,10 +32,11 @@
 export type WorkerStateListener = (state: WorkerState) => void;
 
 /** Start time that is assumed for a worker that does not report it. */
-const UNKNOWN_START = 0;
+export const UNKNOWN_START = 0;
 
 const NO_WORKER: WorkerState = {
   workerId: "",
+  startedAt: UNKNOWN_START,
   slots: 0,
   isReady: false,
   isLeaving: false,
@@ -44,7 +50,6 @@
 export class WorkerTracker {
   readonly #listeners: WorkerStateListener[] = [];
   #state = NO_WORKER;
-  #startedAt = UNKNOWN_START;
   #sequence = -1;
   #hasLeft = false;
   #lastHeartbeatAt = -Infinity;
@@ -78,7 +83,13 @@
   assumeReady(workerId: string, slots: number): void {
     if (this.#state.workerId !== "" || workerId === "") return;
     this.#lastHeartbeatAt = performance.now();
-    this.#set({ workerId, slots, isReady: true, isLeaving: false });
+    this.#set({
+      workerId,
+      startedAt: UNKNOWN_START,
+      slots,
+      isReady: true,
+      isLeaving: false,
+    });
   }
 
   /**
@@ -89,8 +100,8 @@
    */
   applyHeartbeat(heartbeat: WorkerHeartbeat): boolean {
     const startedAt = heartbeat.startedAt ?? UNKNOWN_START;
-    if (startedAt < this.#startedAt) return false;
-    const isSameIncarnation = startedAt === this.#startedAt &&
+    if (startedAt < this.#state.startedAt) return false;
+    const isSameIncarnation = startedAt === this.#state.startedAt &&
       (heartbeat.workerId === this.#state.workerId || this.#hasLeft);
     if (
       isSameIncarnation &&
@@ -98,12 +109,12 @@
     ) {
       return false;
     }
-    this.#startedAt = startedAt;
     this.#sequence = heartbeat.sequence;
     this.#hasLeft = false;
     this.#lastHeartbeatAt = performance.now();
     this.#set({
       workerId: heartbeat.workerId,
+      startedAt,
       slots: heartbeat.slots,
       isReady: heartbeat.state === "ready",
       isLeaving: heartbeat.state === "draining",
@@ -125,11 +136,11 @@
    * @param startedAt Time of its start in milliseconds since 1970.
    * @returns False if another or a later incarnation is known.
    */
-  markLeft(workerId: string, startedAt = this.#startedAt): boolean {
+  markLeft(workerId: string, startedAt = this.#state.startedAt): boolean {
     if (this.#state.workerId !== "" && this.#state.workerId !== workerId) {
       return false;
     }
-    if (startedAt < this.#startedAt) return false;
+    if (startedAt < this.#state.startedAt) return false;
     this.#hasLeft = true;
     const leaving = { isReady: false, isLeaving: true };
     this.#set({ ...this.#state, workerId, ...leaving });
@@ -140,7 +151,9 @@
     const previous = this.#state;
     this.#state = state;
     if (
-      previous.workerId === state.workerId && previous.slots === state.slots &&
+      previous.workerId === state.workerId &&
+      previous.startedAt === state.startedAt &&
+      previous.slots === state.slots &&
       previous.isReady === state.isReady &&
       previous.isLeaving === state.isLeaving
     ) return;
--- a/packages/serving/worker_state_test.ts
+++ b/packages/serving/worker_state_test.ts
@@ -73,6 +73,7 @@
   tracker.assumeReady("i-1", 8);
   expect(tracker.state).toEqual({
     workerId: "i-1",
+    startedAt: 0,
     slots: 8,
     isReady: true,
     isLeaving: false,
--- a/packages/sidecar/_overload_replay.ts
+++ b/packages/sidecar/_overload_replay.ts
@@ -176,6 +176,7 @@
         answerSignature: "",
         expectedWorker: "",
         notRun: "",
+        requestsPerSecond: "",
         callerService: "",
       },
       repeats: new RepeatBudget({
--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -23,6 +23,7 @@
   answerSignature: "x-signature",
   expectedWorker: "x-expected-worker",
   notRun: "x-not-run",
+  requestsPerSecond: "x-requests-per-second",
   callerService: "x-caller-service",
 };
 
--- a/packages/sidecar/request_observer.ts
+++ b/packages/sidecar/request_observer.ts
@@ -46,6 +46,23 @@
     this.#repeatCounts.increment("refused");
   }
 
+  onLimitChanged(
+    worker: string,
+    requestsPerSecond: number | undefined,
+  ): void {
+    this.#options.log.write("info", "worker_limit", {
+      worker,
+      requests_per_second: requestsPerSecond ?? "none",
+    });
+  }
+
+  onMalformedLimit(worker: string, limit: string): void {
+    this.#options.log.write("warn", "worker_limit_malformed", {
+      worker,
+      limit,
+    });
+  }
+
   onSent(request: CallerRequest, { node, load }: WorkerChannel): void {
     this.#options.requests.write("request_sent", request.requestId, () => ({
       service: request.service,
