Tell a restarted node the limit that its worker has named

After a restart of the node beside a limited worker, requests of other hosts ran at it without a limit until its first answer: the limit was in the memory of the old process only, and those hosts had passed it on. Load reports now carry what the worker has said, the callers' nodes keep it beyond the link and send it with their calls, and the node believes them until the worker's own first answer.

--- a/packages/calling/peer_channel.ts
+++ b/packages/calling/peer_channel.ts
@@ -14,6 +14,7 @@
   WorkerResult,
 } from "@oleanderdeck/serving";
 import { type ChannelRunOptions, WorkerChannel } from "./worker_channel.ts";
+import type { WorkerStatements } from "./worker_statements.ts";
 
 /**
  * Time limit for opening a link, which includes the first frame of the peer, in
@@ -43,6 +44,8 @@
   readonly service: string;
   /** Address at which the peer accepts links, as host:port. */
   readonly address: string;
+  /** Statements of all workers, which outlive the channel. */
+  readonly statements: WorkerStatements;
   /** Returns the first frame sent on a new link. */
   readonly hello: () => HelloFrame;
   /** Called with each frame that does not concern calls or the load. */
@@ -152,6 +155,7 @@
       isSent: false,
       send: (link) => {
         pending.isSent = true;
+        const statement = this.#options.statements.of(this.node);
         link.send({
           kind: "call",
           id,
@@ -168,6 +172,7 @@
           rank: call.rank,
           isIdempotent: call.isIdempotent,
           isRepeat: call.isRepeat,
+          ...(statement && { statement }),
           body: call.body,
         });
       },
@@ -279,7 +284,10 @@
     }
     const isFirst = frame.kind === "hello" && !this.#isOpen;
     if (isFirst && this.#link !== undefined) this.#onOpened(this.#link);
-    if ("load" in frame) this.#load = frame.load;
+    if ("load" in frame) {
+      this.#load = frame.load;
+      this.#options.statements.record(this.node, frame.load);
+    }
     switch (frame.kind) {
       case "answer":
         return this.#finish(frame.id, {
--- a/packages/calling/peer_channel_test.ts
+++ b/packages/calling/peer_channel_test.ts
@@ -4,7 +4,7 @@
 import type { Frame } from "@oleanderdeck/hop";
 import { acceptedLinkSocket, Link } from "@oleanderdeck/hop";
 import type { WorkerCall, WorkerResult } from "@oleanderdeck/serving";
-import { PeerChannel } from "./mod.ts";
+import { PeerChannel, WorkerStatements } from "./mod.ts";
 import { IDLE } from "./_test_channel.ts";
 
 const closers: (() => void)[] = [];
@@ -34,6 +34,7 @@
     dataCentre: "wa-a",
     service: "menus",
     address,
+    statements: new WorkerStatements(),
     hello: () => ({
       kind: "hello",
       node: "n0",
--- a/packages/hop/_fields.ts
+++ b/packages/hop/_fields.ts
@@ -18,6 +18,16 @@
   return value as number;
 }
 
+/**
+ * Returns a decoded field that is a finite number of 0 or more.
+ *
+ * @throws {TypeError} If the field has another type or value.
+ */
+export function asNonNegative(value: unknown): number {
+  if (asNumber(value) < 0) throw fieldError("0 or more", value);
+  return value as number;
+}
+
 /**
  * Returns a decoded field that is an integer from 0 to a limit.
  *
--- a/packages/hop/_load_fields.ts
+++ b/packages/hop/_load_fields.ts
@@ -1,4 +1,9 @@
 import { asList, asNumber, asText } from "./_fields.ts";
+import {
+  packStatement,
+  type StatementFields,
+  unpackStatement,
+} from "./_statement_fields.ts";
 import type { LoadReport, RoutePressure } from "./frame.ts";
 
 /** Fields of a load report in the order in which they are sent. */
@@ -12,6 +17,7 @@
   routePressures: LoadReport["routePressures"],
   repeatShare: number,
   unrepeatableRoutes: LoadReport["unrepeatableRoutes"],
+  statement?: StatementFields,
 ];
 
 /** Returns the fields of a load report as they are sent. */
@@ -26,6 +32,9 @@
     load.routePressures,
     load.repeatShare,
     load.unrepeatableRoutes,
+    ...(load.statement === undefined
+      ? [] as const
+      : [packStatement(load.statement)] as const),
   ];
 }
 
@@ -46,6 +55,7 @@
     routePressures: asList(fields[6]).map(unpackRoutePressure),
     repeatShare: asNumber(fields[7]),
     unrepeatableRoutes: asList(fields[8]).map(asText),
+    ...(fields[9] !== undefined && { statement: unpackStatement(fields[9]) }),
   };
 }
 
--- /dev/null
+++ b/packages/hop/_statement_fields.ts
@@ -0,0 +1,31 @@
+import { asList, asNonNegative, asText } from "./_fields.ts";
+import type { WorkerStatement } from "./frame.ts";
+
+/** Fields of a worker's statement in the order in which they are sent. */
+export type StatementFields = readonly [
+  workerId: string,
+  startedAt: number,
+  requestsPerSecond: number | null,
+];
+
+/** Returns the fields of a statement as they are sent. */
+export function packStatement(statement: WorkerStatement): StatementFields {
+  const { workerId, startedAt, requestsPerSecond } = statement;
+  return [workerId, startedAt, requestsPerSecond ?? null];
+}
+
+/**
+ * Decodes the fields of a statement.
+ *
+ * @throws {TypeError} If a field has another type or value than declared.
+ */
+export function unpackStatement(value: unknown): WorkerStatement {
+  const [workerId, startedAt, requestsPerSecond] = asList(value);
+  return {
+    workerId: asText(workerId),
+    startedAt: asNonNegative(startedAt),
+    requestsPerSecond: requestsPerSecond === null
+      ? undefined
+      : asNonNegative(requestsPerSecond),
+  };
+}
--- a/packages/hop/frame.ts
+++ b/packages/hop/frame.ts
@@ -3,6 +3,22 @@
 /** Header fields as a flat list in which names and values alternate. */
 export type HeaderList = readonly string[];
 
+/** What a worker has said in its answers about the requests that it takes. */
+export interface WorkerStatement {
+  /** Identity of the worker's incarnation. */
+  readonly workerId: string;
+  /**
+   * Wall-clock time of the worker's start, in milliseconds since 1970; 0 if it
+   * is not known.
+   */
+  readonly startedAt: number;
+  /**
+   * Number of requests a second that the worker takes from all hosts together;
+   * undefined if it names no limit.
+   */
+  readonly requestsPerSecond: number | undefined;
+}
+
 /** State of a worker that the node beside it reports to its callers. */
 export interface LoadReport {
   /** Number of calls that the worker is running. */
@@ -28,6 +44,8 @@
   readonly repeatShare: number;
   /** Routes whose calls reach a service with few remaining repeats. */
   readonly unrepeatableRoutes: readonly string[];
+  /** Absent as long as the worker has said nothing in its answers. */
+  readonly statement?: WorkerStatement;
 }
 
 /** Route and the overload of the services that its requests reach, 0 to 1. */
@@ -66,6 +84,11 @@
    * was sent to another worker before.
    */
   readonly isRepeat: boolean;
+  /**
+   * What the caller's node knows that the worker has said. A node that was
+   * restarted learns it again from it.
+   */
+  readonly statement?: WorkerStatement;
   readonly body: Buffer;
 }
 
--- a/packages/hop/frame_codec.ts
+++ b/packages/hop/frame_codec.ts
@@ -1,6 +1,7 @@
 import { ERROR_DETAILS, type ErrorKind } from "@oleanderdeck/errors";
 import { asCount, asList, asNumber, asText } from "./_fields.ts";
 import { packLoad, unpackLoad } from "./_load_fields.ts";
+import { packStatement, unpackStatement } from "./_statement_fields.ts";
 import type { Frame, HeaderList } from "./frame.ts";
 import {
   type EncodedString,
@@ -110,6 +111,9 @@
         frame.rank,
         frame.isIdempotent ? 1 : 0,
         frame.isRepeat ? 1 : 0,
+        ...(frame.statement === undefined
+          ? []
+          : [packStatement(frame.statement)]),
       ];
     case "answer":
       return [
@@ -181,6 +185,7 @@
         rank: asCount(head[10], MAX_RANK),
         isIdempotent: head[11] === 1,
         isRepeat: head[12] === 1,
+        ...(head[13] !== undefined && { statement: unpackStatement(head[13]) }),
         body,
       };
     }
--- a/packages/hop/frame_codec_test.ts
+++ b/packages/hop/frame_codec_test.ts
@@ -48,6 +48,17 @@
   expect(decode(encode(call))[0]).toEqual(call);
 });
 
+test("what a worker has said travels with calls and load reports", () => {
+  const statement = { workerId: "i-1", startedAt: 7, requestsPerSecond: 31.4 };
+  const ended = { ...statement, requestsPerSecond: undefined };
+  const frames: Frame[] = [
+    { ...call, statement },
+    { kind: "load", load: { ...load, statement } },
+    { kind: "load", load: { ...load, statement: ended } },
+  ];
+  expect(decode(encode(...frames))).toEqual(frames);
+});
+
 test("an answer keeps the load report", () => {
   const [frame] = decode(encode({
     kind: "answer",
--- a/packages/serving/worker_call.ts
+++ b/packages/serving/worker_call.ts
@@ -1,5 +1,5 @@
 import type { ErrorKind } from "@oleanderdeck/errors";
-import type { HeaderList } from "@oleanderdeck/hop";
+import type { HeaderList, WorkerStatement } from "@oleanderdeck/hop";
 
 /** One call to the worker beside this node. */
 export interface WorkerCall {
@@ -25,6 +25,8 @@
    * sent to another worker before.
    */
   readonly isRepeat: boolean;
+  /** What the caller's node knows that the worker has said in its answers. */
+  readonly statement?: WorkerStatement;
 }
 
 /** Complete answer of the worker. */
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -173,6 +173,7 @@
       failureShare: Math.round(this.#failureShare * 100) / 100,
       repeatShare: this.#unusedRepeatShare,
       ...downstream,
+      ...(this.#limit.statement && { statement: this.#limit.statement }),
     };
   }
 
@@ -185,6 +186,7 @@
    */
   run(call: WorkerCall, finish: (result: WorkerResult) => void): CallHandle {
     this.#arrived++;
+    if (call.statement !== undefined) this.#limit.learn(call.statement);
     this.#latencyTargetMs += SAMPLE_WEIGHT *
       (call.latencyTargetMs - this.#latencyTargetMs);
     const pending: PendingCall = {
--- a/packages/serving/worker_limit.ts
+++ b/packages/serving/worker_limit.ts
@@ -1,3 +1,4 @@
+import type { WorkerStatement } from "@oleanderdeck/hop";
 import { parseRequestLimit, RequestLimit } from "./request_limit.ts";
 import type { GateObserver } from "./worker_gate_options.ts";
 import {
@@ -23,6 +24,10 @@
   readonly requests = new RequestLimit(() => performance.now());
   readonly #options: WorkerLimitOptions;
   #worker: Pick<WorkerState, "workerId" | "startedAt">;
+  /** Whether an answer of this incarnation has reached this process. */
+  #hasAnswered = false;
+  /** Whether the worker has ever named a limit, as far as known. */
+  #hasNamedLimit = false;
   #isMalformedReported = false;
 
   /** @param options State of the worker and receivers of changes. */
@@ -32,6 +37,23 @@
     options.tracker.onChange((state) => this.#onWorkerChange(state));
   }
 
+  /** What the worker has said; undefined if it has never named a limit. */
+  get statement(): WorkerStatement | undefined {
+    if (!this.#hasNamedLimit) return undefined;
+    return { ...this.#worker, requestsPerSecond: this.requests.perSecond };
+  }
+
+  /**
+   * Takes over what another node knows that the worker has said, until the
+   * worker's first answer to this process. A process that was restarted beside a
+   * worker that goes on does not know its limit.
+   */
+  learn(statement: WorkerStatement): void {
+    if (!this.#isCurrent(statement)) return;
+    this.#hasNamedLimit = true;
+    if (!this.#hasAnswered) this.#set(statement.requestsPerSecond);
+  }
+
   /**
    * Takes over what an answer of the worker says.
    *
@@ -44,10 +66,22 @@
     if (text !== undefined && limit === undefined) {
       return this.#reportMalformed(text);
     }
+    this.#hasAnswered = true;
     this.#set(limit);
   }
 
+  // Whether the identity is that of the known incarnation, as far as its start is
+  // known.
+  #isCurrent(
+    { workerId, startedAt }: Pick<WorkerState, "workerId" | "startedAt">,
+  ): boolean {
+    const known = this.#worker;
+    return workerId === known.workerId &&
+      [startedAt, UNKNOWN_START].includes(known.startedAt);
+  }
+
   #set(limit: number | undefined): void {
+    this.#hasNamedLimit ||= limit !== undefined;
     if (limit === this.requests.perSecond) return;
     this.requests.set(limit);
     this.#options.observer?.onLimitChanged(this.#worker.workerId, limit);
@@ -61,12 +95,12 @@
   }
 
   #onWorkerChange({ workerId, startedAt }: WorkerState): void {
-    const known = this.#worker;
-    const isSame = workerId === known.workerId &&
-      (startedAt === known.startedAt || known.startedAt === UNKNOWN_START);
+    const isSame = this.#isCurrent({ workerId, startedAt });
     this.#worker = { workerId, startedAt };
     if (isSame) return;
     this.#isMalformedReported = false;
     this.#set(undefined);
+    this.#hasAnswered = false;
+    this.#hasNamedLimit = false;
   }
 }
--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -56,6 +56,8 @@
     return true;
   };
   status = 200;
+  /** Limit that the answers name; none if undefined. */
+  requestsPerSecond: string | undefined;
   address = "";
   readonly #server: Server;
 
@@ -74,6 +76,9 @@
       response.writeHead(this.status, {
         "x-request": requestId,
         "x-signature": "s",
+        ...(this.requestsPerSecond !== undefined && {
+          [TEST_NAMES.requestsPerSecond]: this.requestsPerSecond,
+        }),
       });
       response.end(`answer to ${requestId}`);
     });
@@ -104,6 +109,8 @@
   readonly callPort: number;
   readonly linkPort: number;
   readonly dataCentre: string;
+  /** Slots in the heartbeats of the worker. */
+  readonly slots: number;
   /** Number of the last heartbeat. */
   sequence: number;
 }
@@ -157,7 +164,7 @@
   async add(
     name: string,
     service: string,
-    { dataCentre = "wa-a" } = {},
+    { dataCentre = "wa-a", slots = 4 } = {},
   ): Promise<TestHost> {
     const worker = new TestWorker();
     await worker.listen();
@@ -175,6 +182,7 @@
       linkPort,
       sequence: 0,
       dataCentre,
+      slots,
       node: this.#newNode({
         name,
         service,
@@ -216,7 +224,7 @@
       workerId: `${host.name}-worker`,
       service: host.service,
       address: host.worker.address,
-      slots: 4,
+      slots: host.slots,
       state,
       sequence: ++host.sequence,
       startedAt: 1,
@@ -287,7 +295,7 @@
   #newNode(
     { name, service, worker, callPort, linkPort, dataCentre }: Omit<
       TestHost,
-      "node" | "sequence" | "address"
+      "node" | "sequence" | "address" | "slots"
     >,
   ): SidecarNode {
     return new SidecarNode({
--- a/packages/sidecar/peer_server.ts
+++ b/packages/sidecar/peer_server.ts
@@ -155,6 +155,9 @@
 
 function isSignificantChange(load: LoadReport, lastSent: LoadReport): boolean {
   if (load.slots !== lastSent.slots) return true;
+  if (
+    load.statement?.requestsPerSecond !== lastSent.statement?.requestsPerSecond
+  ) return true;
   if ((load.repeatShare > 0) !== (lastSent.repeatShare > 0)) return true;
   if (
     Math.abs(load.pressure - lastSent.pressure) >= PRESSURE_REPORT_THRESHOLD
--- a/packages/sidecar/worker_channels.ts
+++ b/packages/sidecar/worker_channels.ts
@@ -2,6 +2,7 @@
   type LocalChannel,
   PeerChannel,
   type WorkerChannel,
+  WorkerStatements,
   WorkerSubset,
 } from "@oleanderdeck/calling";
 import type { WorkerDirectory, WorkerRecord } from "@oleanderdeck/directory";
@@ -33,6 +34,7 @@
   readonly #peers = new Map<string, PeerChannel>();
   /** Channels to workers without a record that finish their last calls. */
   readonly #retired = new Set<PeerChannel>();
+  readonly #statements = new WorkerStatements();
   readonly #subset: WorkerSubset;
   readonly #channelsByService = new Map<string, readonly WorkerChannel[]>();
 
@@ -170,6 +172,7 @@
       address,
       dataCentre,
       service,
+      statements: this.#statements,
       hello,
       onFrame,
       onLinkStateChange: ({ isOpen, node, reason, lostCalls }) =>
