Keep a worker out that left before its first heartbeat to a new process

A node that was restarted knows its worker from the record, without the time of its start. A worker that deregistered then was used again after a late heartbeat: its start was newer than the unknown one, so it counted as a new incarnation. The start of the deregistration is now kept, and where it has none, a worker of that name which started before it left stays out.

Before: "a worker that left before its first heartbeat stays out" failed (heartbeat accepted). After: passes.

--- a/packages/serving/worker_state.ts
+++ b/packages/serving/worker_state.ts
@@ -52,6 +52,8 @@
   #state = NO_WORKER;
   #sequence = -1;
   #hasLeft = false;
+  /** Wall-clock time at which the worker left, in milliseconds since 1970. */
+  #leftAt = 0;
   #lastHeartbeatAt = -Infinity;
 
   /** Current state of the worker. */
@@ -101,14 +103,14 @@
   applyHeartbeat(heartbeat: WorkerHeartbeat): boolean {
     const startedAt = heartbeat.startedAt ?? UNKNOWN_START;
     if (startedAt < this.#state.startedAt) return false;
-    const isSameIncarnation = startedAt === this.#state.startedAt &&
-      (heartbeat.workerId === this.#state.workerId || this.#hasLeft);
-    if (
-      isSameIncarnation &&
-      (this.#hasLeft || heartbeat.sequence <= this.#sequence)
-    ) {
+    if (this.#hasLeft && this.#isOfLeft(heartbeat.workerId, startedAt)) {
       return false;
     }
+    if (
+      startedAt === this.#state.startedAt &&
+      heartbeat.workerId === this.#state.workerId &&
+      heartbeat.sequence <= this.#sequence
+    ) return false;
     this.#sequence = heartbeat.sequence;
     this.#hasLeft = false;
     this.#lastHeartbeatAt = performance.now();
@@ -142,11 +144,20 @@
     }
     if (startedAt < this.#state.startedAt) return false;
     this.#hasLeft = true;
+    this.#leftAt = Date.now();
     const leaving = { isReady: false, isLeaving: true };
-    this.#set({ ...this.#state, workerId, ...leaving });
+    this.#set({ ...this.#state, workerId, startedAt, ...leaving });
     return true;
   }
 
+  // A node that was restarted may not know when the worker that left had started.
+  #isOfLeft(workerId: string, startedAt: number): boolean {
+    const known = this.#state;
+    return startedAt === known.startedAt ||
+      (known.startedAt === UNKNOWN_START && workerId === known.workerId &&
+        startedAt <= this.#leftAt);
+  }
+
   #set(state: WorkerState): void {
     const previous = this.#state;
     this.#state = state;
--- a/packages/serving/worker_state_test.ts
+++ b/packages/serving/worker_state_test.ts
@@ -49,6 +49,21 @@
   expect(tracker.state.isReady).toBe(true);
 });
 
+// Guards against a worker that left a restarted node, which knew it from its
+// record only, and that a late heartbeat made ready again.
+test("a worker that left before its first heartbeat stays out", () => {
+  const startedAt = Date.now() - 5_000;
+  [startedAt, undefined].forEach((statedStart) => {
+    const tracker = new WorkerTracker();
+    tracker.assumeReady("i-1", 8);
+    tracker.markLeft("i-1", statedStart);
+    expect(tracker.applyHeartbeat(heartbeat({ startedAt }))).toBe(false);
+    expect(tracker.state.isReady).toBe(false);
+    const reborn = heartbeat({ startedAt: Date.now() + 10 });
+    expect(tracker.applyHeartbeat(reborn)).toBe(true);
+  });
+});
+
 test("a late leave message of an earlier start is ignored", () => {
   const tracker = new WorkerTracker();
   tracker.applyHeartbeat(heartbeat({ startedAt: 3_000 }));
