Send nothing more to a worker whose answers say that it leaves

Only heartbeats and deregistrations told that a worker leaves, so one that says it in its answers went on to get requests. The answer now counts like a deregistration: later heartbeats of that incarnation do not undo it, the record is withdrawn, and callers' nodes keep the fact and send it with their calls, for a node that was restarted meanwhile.

--- a/packages/calling/_test_proxy.ts
+++ b/packages/calling/_test_proxy.ts
@@ -11,6 +11,7 @@
   expectedWorker: "x-expected-worker",
   notRun: "x-not-run",
   requestsPerSecond: "x-requests-per-second",
+  leaving: "x-leaving",
   callerService: "x-caller-service",
 };
 
--- a/packages/calling/worker_statements.ts
+++ b/packages/calling/worker_statements.ts
@@ -21,7 +21,9 @@
    */
   record(node: string, { statement }: LoadReport): void {
     if (statement === undefined) return;
-    if (statement.requestsPerSecond === undefined) this.#byNode.delete(node);
-    else this.#byNode.set(node, statement);
+    const { isLeaving, requestsPerSecond } = statement;
+    if (isLeaving || requestsPerSecond !== undefined) {
+      this.#byNode.set(node, statement);
+    } else this.#byNode.delete(node);
   }
 }
--- a/packages/hop/_statement_fields.ts
+++ b/packages/hop/_statement_fields.ts
@@ -6,12 +6,13 @@
   workerId: string,
   startedAt: number,
   requestsPerSecond: number | null,
+  isLeaving: 0 | 1,
 ];
 
 /** Returns the fields of a statement as they are sent. */
 export function packStatement(statement: WorkerStatement): StatementFields {
-  const { workerId, startedAt, requestsPerSecond } = statement;
-  return [workerId, startedAt, requestsPerSecond ?? null];
+  const { workerId, startedAt, requestsPerSecond, isLeaving } = statement;
+  return [workerId, startedAt, requestsPerSecond ?? null, isLeaving ? 1 : 0];
 }
 
 /**
@@ -20,12 +21,13 @@
  * @throws {TypeError} If a field has another type or value than declared.
  */
 export function unpackStatement(value: unknown): WorkerStatement {
-  const [workerId, startedAt, requestsPerSecond] = asList(value);
+  const [workerId, startedAt, requestsPerSecond, isLeaving] = asList(value);
   return {
     workerId: asText(workerId),
     startedAt: asNonNegative(startedAt),
     requestsPerSecond: requestsPerSecond === null
       ? undefined
       : asNonNegative(requestsPerSecond),
+    isLeaving: isLeaving === 1,
   };
 }
--- a/packages/hop/frame.ts
+++ b/packages/hop/frame.ts
@@ -17,6 +17,8 @@
    * undefined if it names no limit.
    */
   readonly requestsPerSecond: number | undefined;
+  /** Whether the worker takes no more requests, because it stops. */
+  readonly isLeaving: boolean;
 }
 
 /** State of a worker that the node beside it reports to its callers. */
--- a/packages/hop/frame_codec_test.ts
+++ b/packages/hop/frame_codec_test.ts
@@ -49,8 +49,13 @@
 });
 
 test("what a worker has said travels with calls and load reports", () => {
-  const statement = { workerId: "i-1", startedAt: 7, requestsPerSecond: 31.4 };
-  const ended = { ...statement, requestsPerSecond: undefined };
+  const statement = {
+    workerId: "i-1",
+    startedAt: 7,
+    requestsPerSecond: 31.4,
+    isLeaving: false,
+  };
+  const ended = { ...statement, requestsPerSecond: undefined, isLeaving: true };
   const frames: Frame[] = [
     { ...call, statement },
     { kind: "load", load: { ...load, statement } },
--- a/packages/serving/_test_worker.ts
+++ b/packages/serving/_test_worker.ts
@@ -10,6 +10,7 @@
   expectedWorker: "x-expected-worker",
   notRun: "x-not-run",
   requestsPerSecond: "x-requests-per-second",
+  leaving: "x-leaving",
   callerService: "x-caller-service",
 };
 
--- a/packages/serving/header_names.ts
+++ b/packages/serving/header_names.ts
@@ -14,6 +14,8 @@
    * Number of requests a second that the worker takes from all hosts together.
    */
   readonly requestsPerSecond: string;
+  /** Has the value 1 if the worker takes no more requests, because it stops. */
+  readonly leaving: string;
   /** Service of the worker that made the request. */
   readonly callerService: string;
 }
--- a/packages/serving/worker_connections.ts
+++ b/packages/serving/worker_connections.ts
@@ -39,6 +39,20 @@
  */
 const MAX_REFUSED_PER_CONNECTION = 200;
 
+/** Value of the header by which a worker says that it is leaving. */
+const IS_LEAVING = "1";
+
+/** What a worker says of itself in the header of an answer. */
+export interface AnswerStatement {
+  /**
+   * Requests a second that it takes from all hosts together, as text; undefined
+   * if it names no limit.
+   */
+  readonly requestLimit: string | undefined;
+  /** Whether it takes no more requests, because it stops. */
+  readonly isLeaving: boolean;
+}
+
 /** Options of {@linkcode WorkerConnections}. */
 export interface WorkerConnectionsOptions {
   /** Address of the worker as host:port. */
@@ -74,13 +88,13 @@
   /** @param options Address of the worker, header names and memory limit. */
   constructor(options: WorkerConnectionsOptions) {
     this.#options = options;
-    const { answerSignature, notRun, requestId, requestsPerSecond } =
+    const { answerSignature, leaving, notRun, requestId, requestsPerSecond } =
       options.names;
     this.#dropped = new Set([requestId.toLowerCase()]);
     this.#wanted = new Set([
       ...LENGTH_HEADERS,
-      ...[answerSignature, notRun, requestId, requestsPerSecond].map((name) =>
-        name.toLowerCase()
+      ...[answerSignature, leaving, notRun, requestId, requestsPerSecond].map(
+        (name) => name.toLowerCase(),
       ),
     ]);
   }
@@ -90,14 +104,14 @@
    *
    * @param call Call with the headers for the worker.
    * @param finish Called once, with the outcome.
-   * @param onLimit Called with the limit that the worker names in the header of
-   * its answer; undefined if it names none.
+   * @param onHeader Called with what the worker says of itself in the header of
+   * its answer.
    * @returns Handle that aborts the call.
    */
   send(
     call: WorkerCall,
     finish: (result: WorkerResult) => void,
-    onLimit: (limit: string | undefined) => void = () => {},
+    onHeader: (stated: AnswerStatement) => void = () => {},
   ): ExchangeHandle {
     const connection = this.#takeIdle(call) ?? this.#open();
     const exchange = new Exchange(call, {
@@ -105,7 +119,7 @@
       wanted: this.#wanted,
       dropped: this.#dropped,
       connection,
-      onLimit,
+      onHeader,
       onHeldBytesChange: (bytes) => this.#addHeldBytes(bytes),
       finish: (result) => {
         this.#exchanges.delete(exchange);
@@ -232,8 +246,8 @@
    */
   readonly dropped: ReadonlySet<string>;
   readonly connection: WorkerConnection;
-  /** Called with the limit that the answer names, if any. */
-  readonly onLimit: (limit: string | undefined) => void;
+  /** Called with what the worker says of itself in the header of its answer. */
+  readonly onHeader: (stated: AnswerStatement) => void;
   /** Called with the change of the number of buffered bytes of the answer. */
   readonly onHeldBytesChange: (bytes: number) => void;
   readonly finish: (result: WorkerResult) => void;
@@ -328,8 +342,11 @@
     }
     // Another worker than the expected one refuses the call with 421.
     if (status === REPLACED_STATUS) return;
-    const { names, onLimit } = this.#options;
-    onLimit(values.get(names.requestsPerSecond.toLowerCase()));
+    const { names, onHeader } = this.#options;
+    onHeader({
+      requestLimit: values.get(names.requestsPerSecond.toLowerCase()),
+      isLeaving: values.get(names.leaving.toLowerCase()) === IS_LEAVING,
+    });
   }
 
   onResponseData(
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -1,11 +1,11 @@
 import type { ErrorKind } from "@oleanderdeck/errors";
-import type { LoadReport } from "@oleanderdeck/hop";
+import type { LoadReport, WorkerStatement } from "@oleanderdeck/hop";
 import { RepeatDemand } from "@oleanderdeck/retries";
 import type { GateIntervalCounts } from "./overload_meter.ts";
 import { isNestedRank, priorityOfRank } from "./rank.ts";
 import { RankedQueue } from "./ranked_queue.ts";
 import type { WorkerCall, WorkerResult } from "./worker_call.ts";
-import type { ExchangeHandle } from "./worker_connections.ts";
+import type { AnswerStatement, ExchangeHandle } from "./worker_connections.ts";
 import type {
   CallHandle,
   DownstreamLoad,
@@ -101,6 +101,8 @@
     windowMs: REPEAT_DEMAND_WINDOW_MS,
     now: () => performance.now(),
   });
+  /** Whether a caller's node knows what an earlier incarnation has said. */
+  #hasOutdatedCaller = false;
   #limitTimer: NodeJS.Timeout | undefined;
   #isClosed = false;
 
@@ -173,7 +175,7 @@
       failureShare: Math.round(this.#failureShare * 100) / 100,
       repeatShare: this.#unusedRepeatShare,
       ...downstream,
-      ...(this.#limit.statement && { statement: this.#limit.statement }),
+      ...(this.#statement && { statement: this.#statement }),
     };
   }
 
@@ -186,7 +188,7 @@
    */
   run(call: WorkerCall, finish: (result: WorkerResult) => void): CallHandle {
     this.#arrived++;
-    if (call.statement !== undefined) this.#limit.learn(call.statement);
+    if (call.statement !== undefined) this.#learn(call.statement);
     this.#latencyTargetMs += SAMPLE_WEIGHT *
       (call.latencyTargetMs - this.#latencyTargetMs);
     const pending: PendingCall = {
@@ -208,6 +210,38 @@
     return { cancel: () => this.#cancel(pending) };
   }
 
+  // A process that was restarted beside a worker that goes on learns from its
+  // callers what the worker has said before.
+  #learn(statement: WorkerStatement): void {
+    const { tracker } = this.#options;
+    const { isLeaving, startedAt, workerId } = statement;
+    const isUnknown = tracker.state.workerId === "";
+    if (!isUnknown && !tracker.isCurrent(statement)) {
+      this.#hasOutdatedCaller = true;
+      return;
+    }
+    if (isLeaving) this.#markLeft(workerId, startedAt);
+    if (!isUnknown) this.#limit.learn(statement.requestsPerSecond);
+  }
+
+  #markLeft(workerId: string, startedAt?: number): void {
+    const { observer, tracker } = this.#options;
+    if (tracker.hasLeft) return;
+    if (tracker.markLeft(workerId, startedAt)) observer?.onLeaving(workerId);
+  }
+
+  // What the worker has said; undefined as long as it has said nothing and no
+  // caller knows what an earlier one has said.
+  get #statement(): WorkerStatement | undefined {
+    const { hasLeft: isLeaving, state } = this.#options.tracker;
+    const isOfInterest = isLeaving || this.#limit.hasNamedLimit ||
+      this.#hasOutdatedCaller;
+    if (!isOfInterest) return undefined;
+    const { startedAt, workerId } = state;
+    const requestsPerSecond = this.#limit.requests.perSecond;
+    return { workerId, startedAt, requestsPerSecond, isLeaving };
+  }
+
   /** Slots that calls can occupy within the limit of the worker. */
   get #usableSlots(): number {
     const { slots } = this.#options.tracker.state;
@@ -322,10 +356,19 @@
         ],
       },
       finish,
-      (limit) => this.#limit.observe(workerId, limit),
+      (stated) => this.#observe(workerId, stated),
     );
   }
 
+  #observe(
+    workerId: string,
+    { isLeaving, requestLimit }: AnswerStatement,
+  ): void {
+    if (workerId !== this.#options.tracker.state.workerId) return;
+    this.#limit.observe(requestLimit);
+    if (isLeaving) this.#markLeft(workerId);
+  }
+
   #finish(pending: PendingCall, result: WorkerResult): void {
     clearTimeout(pending.timer);
     this.#running--;
--- a/packages/serving/worker_gate_options.ts
+++ b/packages/serving/worker_gate_options.ts
@@ -16,8 +16,8 @@
 }
 
 /**
- * Is notified of calls that are sent, of repeats that are refused and of the
- * limits that the worker names.
+ * Is notified of calls that are sent, of repeats that are refused and of what
+ * the worker says of itself in its answers.
  */
 export interface GateObserver {
   /** Called when a call is about to be sent to the worker. */
@@ -34,6 +34,12 @@
     workerId: string,
     requestsPerSecond: number | undefined,
   ): void;
+  /**
+   * Called when an answer of the worker says that it is leaving.
+   *
+   * @param workerId Identity of the worker.
+   */
+  onLeaving(workerId: string): void;
   /**
    * Called once for a worker that names a limit which is not a number.
    *
--- a/packages/serving/worker_limit.ts
+++ b/packages/serving/worker_limit.ts
@@ -1,9 +1,8 @@
-import type { WorkerStatement } from "@oleanderdeck/hop";
 import { parseRequestLimit, RequestLimit } from "./request_limit.ts";
 import type { GateObserver } from "./worker_gate_options.ts";
 import {
   UNKNOWN_START,
-  type WorkerState,
+  type WorkerIncarnation,
   type WorkerTracker,
 } from "./worker_state.ts";
 
@@ -23,10 +22,9 @@
   /** Spaces the calls to the worker. */
   readonly requests = new RequestLimit(() => performance.now());
   readonly #options: WorkerLimitOptions;
-  #worker: Pick<WorkerState, "workerId" | "startedAt">;
+  #worker: WorkerIncarnation;
   /** Whether an answer of this incarnation has reached this process. */
   #hasAnswered = false;
-  /** Whether the worker has ever named a limit, as far as known. */
   #hasNamedLimit = false;
   #isMalformedReported = false;
 
@@ -37,31 +35,28 @@
     options.tracker.onChange((state) => this.#onWorkerChange(state));
   }
 
-  /** What the worker has said; undefined if it has never named a limit. */
-  get statement(): WorkerStatement | undefined {
-    if (!this.#hasNamedLimit) return undefined;
-    return { ...this.#worker, requestsPerSecond: this.requests.perSecond };
+  /** Whether the worker has ever named a limit, as far as known. */
+  get hasNamedLimit(): boolean {
+    return this.#hasNamedLimit;
   }
 
   /**
-   * Takes over what another node knows that the worker has said, until the
-   * worker's first answer to this process. A process that was restarted beside a
-   * worker that goes on does not know its limit.
+   * Takes over the limit that another node knows, until the worker's first
+   * answer to this process.
+   *
+   * @param limit Requests a second; undefined for no limit.
    */
-  learn(statement: WorkerStatement): void {
-    if (!this.#isCurrent(statement)) return;
+  learn(limit: number | undefined): void {
     this.#hasNamedLimit = true;
-    if (!this.#hasAnswered) this.#set(statement.requestsPerSecond);
+    if (!this.#hasAnswered) this.#set(limit);
   }
 
   /**
-   * Takes over what an answer of the worker says.
+   * Takes over the limit that an answer of the worker names.
    *
-   * @param workerId Worker to which the call was sent.
-   * @param text Limit that its answer names; undefined if it names none.
+   * @param text Limit as the answer names it; undefined if it names none.
    */
-  observe(workerId: string, text: string | undefined): void {
-    if (workerId !== this.#worker.workerId) return;
+  observe(text: string | undefined): void {
     const limit = text === undefined ? undefined : parseRequestLimit(text);
     if (text !== undefined && limit === undefined) {
       return this.#reportMalformed(text);
@@ -70,16 +65,6 @@
     this.#set(limit);
   }
 
-  // Whether the identity is that of the known incarnation, as far as its start is
-  // known.
-  #isCurrent(
-    { workerId, startedAt }: Pick<WorkerState, "workerId" | "startedAt">,
-  ): boolean {
-    const known = this.#worker;
-    return workerId === known.workerId &&
-      [startedAt, UNKNOWN_START].includes(known.startedAt);
-  }
-
   #set(limit: number | undefined): void {
     this.#hasNamedLimit ||= limit !== undefined;
     if (limit === this.requests.perSecond) return;
@@ -94,9 +79,12 @@
     this.#options.observer?.onMalformedLimit(this.#worker.workerId, text);
   }
 
-  #onWorkerChange({ workerId, startedAt }: WorkerState): void {
-    const isSame = this.#isCurrent({ workerId, startedAt });
+  #onWorkerChange({ workerId, startedAt }: WorkerIncarnation): void {
+    const known = this.#worker;
     this.#worker = { workerId, startedAt };
+    // The first heartbeat to a process that was restarted tells the start.
+    const isSame = workerId === known.workerId &&
+      [startedAt, UNKNOWN_START].includes(known.startedAt);
     if (isSame) return;
     this.#isMalformedReported = false;
     this.#set(undefined);
--- a/packages/serving/worker_limit_test.ts
+++ b/packages/serving/worker_limit_test.ts
@@ -42,11 +42,11 @@
   readonly observed: string[] = [];
 
   constructor() {
-    const send: WorkerConnections["send"] = (call, finish, onLimit) => {
+    const send: WorkerConnections["send"] = (call, finish, onHeader) => {
       this.arrivals.push(performance.now());
       this.arrivedIds.push(call.requestId);
       setTimeout(() => {
-        onLimit?.(this.limit);
+        onHeader?.({ requestLimit: this.limit, isLeaving: false });
         finish({
           kind: "answer",
           status: 200,
@@ -73,6 +73,7 @@
         onRepeatRefused: () => {},
         onLimitChanged: (_worker, limit) =>
           this.observed.push(`limit ${limit}`),
+        onLeaving: () => {},
         onMalformedLimit: (_worker, text) =>
           this.observed.push(`malformed ${text}`),
       },
--- a/packages/serving/worker_state.ts
+++ b/packages/serving/worker_state.ts
@@ -14,14 +14,18 @@
   readonly startedAt: number | undefined;
 }
 
-/** State of the worker as its node sees it. */
-export interface WorkerState {
+/** Identity of one incarnation of a worker. */
+export interface WorkerIncarnation {
   readonly workerId: string;
   /**
    * Wall-clock time of the worker's start, in milliseconds since 1970; 0 if it
    * is not known.
    */
   readonly startedAt: number;
+}
+
+/** State of the worker as its node sees it. */
+export interface WorkerState extends WorkerIncarnation {
   readonly slots: number;
   readonly isReady: boolean;
   /** Whether the worker has said that it stops. */
@@ -69,6 +73,24 @@
     return performance.now() - this.#lastHeartbeatAt;
   }
 
+  /**
+   * Whether the worker has left for good, as far as this incarnation goes; no
+   * heartbeat makes it ready again.
+   */
+  get hasLeft(): boolean {
+    return this.#hasLeft;
+  }
+
+  /**
+   * Returns whether an identity is that of the known incarnation, as far as the
+   * start of that one is known.
+   */
+  isCurrent({ workerId, startedAt }: WorkerIncarnation): boolean {
+    const known = this.#state;
+    return workerId === known.workerId &&
+      [startedAt, UNKNOWN_START].includes(known.startedAt);
+  }
+
   /** Registers a listener that is called after each change of the state. */
   onChange(listener: WorkerStateListener): void {
     this.#listeners.push(listener);
@@ -132,7 +154,8 @@
   }
 
   /**
-   * Records that the worker is stopping and accepts no more calls.
+   * Records that the worker is stopping and accepts no more calls, whatever its
+   * later heartbeats say.
    *
    * @param workerId Identity of the worker.
    * @param startedAt Time of its start in milliseconds since 1970.
--- a/packages/sidecar/_overload_replay.ts
+++ b/packages/sidecar/_overload_replay.ts
@@ -177,6 +177,7 @@
         expectedWorker: "",
         notRun: "",
         requestsPerSecond: "",
+        leaving: "",
         callerService: "",
       },
       repeats: new RepeatBudget({
--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -24,6 +24,7 @@
   expectedWorker: "x-expected-worker",
   notRun: "x-not-run",
   requestsPerSecond: "x-requests-per-second",
+  leaving: "x-leaving",
   callerService: "x-caller-service",
 };
 
@@ -58,6 +59,8 @@
   status = 200;
   /** Limit that the answers name; none if undefined. */
   requestsPerSecond: string | undefined;
+  /** Whether the answers say that the worker is leaving. */
+  isLeaving = false;
   address = "";
   readonly #server: Server;
 
@@ -79,6 +82,7 @@
         ...(this.requestsPerSecond !== undefined && {
           [TEST_NAMES.requestsPerSecond]: this.requestsPerSecond,
         }),
+        ...(this.isLeaving && { [TEST_NAMES.leaving]: "1" }),
       });
       response.end(`answer to ${requestId}`);
     });
--- a/packages/sidecar/request_observer.ts
+++ b/packages/sidecar/request_observer.ts
@@ -56,6 +56,13 @@
     });
   }
 
+  onLeaving(worker: string): void {
+    this.#options.log.write("info", "worker_leaving", {
+      worker,
+      said_in: "answer",
+    });
+  }
+
   onMalformedLimit(worker: string, limit: string): void {
     this.#options.log.write("warn", "worker_limit_malformed", {
       worker,
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -284,8 +284,8 @@
       return;
     }
     const before = this.#tracker.state.workerId;
-    if (!this.#tracker.applyHeartbeat(heartbeat)) return;
-    if (before !== heartbeat.workerId) this.#connections.closeIdle();
+    const isTaken = this.#tracker.applyHeartbeat(heartbeat);
+    if (isTaken && before !== heartbeat.workerId) this.#connections.closeIdle();
     if (this.#tracker.state.isLeaving) await this.#waitForWithdrawal();
   }
 
@@ -305,6 +305,7 @@
     const isTaken = this.#tracker.markLeft(workerId, startedAt);
     this.#options.log.write("info", "worker_leaving", {
       worker: workerId,
+      said_in: "deregistration",
       taken: isTaken,
     });
     if (isTaken) await this.#waitForWithdrawal();
