--- a/packages/directory/worker_record.ts
+++ b/packages/directory/worker_record.ts
@@ -54,7 +54,7 @@
   if (typeof value !== "string") return false;
   const [host, port, ...rest] = value.split(":");
   return rest.length === 0 && isIPv4(host!) && /^\d{1,5}$/.test(port ?? "") &&
-    Number(port) <= MAX_PORT;
+    Number(port) > 0 && Number(port) <= MAX_PORT;
 }
 
 /** Returns whether all fields of two records are equal. */
