Replace a link on which the peer is silent without waiting for its end

After the open connections between nodes had gone silent, no peer got calls for 2.2 s, until the links ended: an unanswered ping only kept further calls away. A node now opens a second link while the first one is suspect and uses it as soon as the peer answers there; the old one stays for calls that are not idempotent. If the peer answers on the old one first, it stays.

Before: "a silent link is replaced before it ends" failed (no link after 1.8 s), as did "a non-idempotent call keeps its link until its answer". After: both pass, 0.8 s.

--- a/packages/calling/peer_channel.ts
+++ b/packages/calling/peer_channel.ts
@@ -1,27 +1,14 @@
-import type { Socket } from "node:net";
 import type { ErrorKind } from "@oleanderdeck/errors";
-import {
-  type Frame,
-  type HelloFrame,
-  Link,
-  type LinkSocket,
-  type LoadReport,
-  openLinkSocket,
-} from "@oleanderdeck/hop";
+import type { Frame, HelloFrame, Link, LoadReport } from "@oleanderdeck/hop";
 import type {
   CallHandle,
   WorkerCall,
   WorkerResult,
 } from "@oleanderdeck/serving";
+import { LinkOpening, type OpeningFailure } from "./_link_opening.ts";
 import { type ChannelRunOptions, WorkerChannel } from "./worker_channel.ts";
 import type { WorkerStatements } from "./worker_statements.ts";
 
-/**
- * Time limit for opening a link, which includes the first frame of the peer, in
- * milliseconds.
- */
-const OPEN_TIMEOUT_MS = 1_000;
-
 /** Initial and maximum delay before a link is reopened, in milliseconds. */
 const FIRST_RECONNECT_DELAY_MS = 100;
 const MAX_RECONNECT_DELAY_MS = 500;
@@ -67,28 +54,26 @@
 interface PendingCall {
   readonly finish: (result: WorkerResult) => void;
   readonly isIdempotent: boolean;
-  /** Whether the call was sent on a link. */
-  isSent: boolean;
+  /** Link on which the call was sent; undefined if it was not. */
+  link: Link | undefined;
   readonly send: (link: Link) => void;
 }
 
 /**
- * Channel to a worker on another host, over a link to the node on that host.
+ * Channel to a worker on another host, over a link to the node on that host. A
+ * link on which the peer seems to be silent is replaced as soon as the peer
+ * answers on another one.
  */
 export class PeerChannel extends WorkerChannel {
   readonly node: string;
   readonly dataCentre: string;
   readonly #options: PeerChannelOptions;
   readonly #pending = new Map<number, PendingCall>();
-  #socket: Socket | undefined;
+  /** Open link on which calls are sent. */
   #link: Link | undefined;
-  /**
-   * Whether the expected peer has sent its first frame on the link. Calls wait
-   * for it: a process that is stopped accepts connections as well, and the
-   * address of a removed host may have been assigned to another one.
-   */
-  #isOpen = false;
-  #openTimer: NodeJS.Timeout | undefined;
+  #opening: LinkOpening | undefined;
+  /** Replaced links with calls that are not idempotent and have no outcome. */
+  readonly #replaced = new Set<Link>();
   #load: LoadReport | undefined;
   #nextId = 1;
   #roundTripMs = ASSUMED_ROUND_TRIP_MS;
@@ -121,7 +106,7 @@
 
   get isReachable(): boolean {
     if (this.#link?.isSuspect) return false;
-    return this.#isOpen || this.#consecutiveFailures === 0;
+    return this.#link !== undefined || this.#consecutiveFailures === 0;
   }
 
   get isUnused(): boolean {
@@ -152,9 +137,9 @@
     const pending: PendingCall = {
       finish,
       isIdempotent: call.isIdempotent,
-      isSent: false,
+      link: undefined,
       send: (link) => {
-        pending.isSent = true;
+        pending.link = link;
         const statement = this.#options.statements.of(this.node);
         link.send({
           kind: "call",
@@ -178,38 +163,34 @@
       },
     };
     this.#pending.set(id, pending);
-    if (this.#link !== undefined && this.#isOpen) pending.send(this.#link);
+    if (this.#link !== undefined) pending.send(this.#link);
     else this.open();
     return { cancel: () => this.#cancel(id) };
   }
 
   /**
    * Opens the link unless it is open or being opened. During the delay after a
-   * failure, the pending calls fail instead.
+   * failure, the calls that wait for it fail instead.
    */
   open(): void {
-    if (this.#isClosed || this.#socket !== undefined) return;
-    if (this.#isRetired) return this.#failPendingCalls("connection_refused");
-    if (performance.now() < this.#reconnectAt) {
-      return this.#failPendingCalls("connection_refused");
+    if (this.#isClosed || this.#opening !== undefined) return;
+    if (this.#link === undefined || this.#link.isSuspect) this.#startOpening();
+  }
+
+  #startOpening(): void {
+    if (this.#isRetired || performance.now() < this.#reconnectAt) {
+      return this.#failUnsentCalls();
     }
-    const [host, port] = this.#options.address.split(":");
-    const opened = openLinkSocket(host!, Number(port));
-    const { socket } = opened;
-    this.#socket = socket;
-    this.#openTimer = setTimeout(() => {
-      const reason = "Connection to the peer timed out";
-      if (this.#link === undefined) socket.destroy(new Error(reason));
-      else this.#link.close(reason);
-    }, OPEN_TIMEOUT_MS);
-    const startedAt = performance.now();
-    socket.once("connect", () => {
-      this.#roundTripMs = performance.now() - startedAt;
-      socket.off("error", onConnectError);
-      this.#startLink(opened);
+    const { address, hello } = this.#options;
+    this.#opening = new LinkOpening({
+      address,
+      hello: hello(),
+      isExpected: (frame) => this.#isExpected(frame),
+      onOpened: (link, roundTripMs) => this.#onOpened(link, roundTripMs),
+      onFailed: (failure) => this.#onOpeningFailed(failure),
+      onFrame: (frame) => this.#receive(frame),
+      onClosed: (link, reason) => this.#onLinkClosed(link, reason),
     });
-    const onConnectError = (error: Error) => this.#onLinkLost(error.message);
-    socket.once("error", onConnectError);
   }
 
   /**
@@ -232,10 +213,15 @@
    * the link to end: idempotent ones, and those that were not sent.
    */
   check(): void {
+    this.#replaced.forEach((link) => link.check(true));
     const link = this.#link;
     if (link === undefined) return;
     link.check(this.#pending.size > 0);
-    if (link.isSuspect) this.#abandonCalls();
+    if (!link.isSuspect) {
+      return this.#opening?.close("The peer answers on its link again");
+    }
+    this.#abandonCalls();
+    this.open();
   }
 
   /** Closes the channel when its pending calls are finished. */
@@ -248,42 +234,43 @@
   close(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
-    clearTimeout(this.#openTimer);
-    if (this.#link !== undefined) this.#link.close("closed by this node");
-    else this.#socket?.destroy();
-    this.#failPendingCalls("connection_lost");
+    const reason = "closed by this node";
+    this.#opening?.close(reason);
+    this.#link?.close(reason);
+    this.#replaced.forEach((link) => link.close(reason));
+    this.#failUnsentCalls();
   }
 
-  #startLink(opened: LinkSocket): void {
-    const link = new Link(opened, {
-      onFrame: (frame) => this.#receive(frame),
-      onClose: (reason) => this.#onLinkLost(reason),
-    });
-    this.#link = link;
-    link.send(this.#options.hello());
-  }
-
-  #onOpened(link: Link): void {
-    clearTimeout(this.#openTimer);
-    this.#isOpen = true;
+  #onOpened(link: Link, roundTripMs: number): void {
+    this.#opening = undefined;
+    this.#roundTripMs = roundTripMs;
     this.#consecutiveFailures = 0;
+    const replaced = this.#link;
+    this.#link = link;
+    if (replaced !== undefined) {
+      this.#replaced.add(replaced);
+      this.#closeIfUnused(replaced);
+    }
     this.#options.onLinkStateChange?.({
       node: this.node,
       isOpen: true,
-      reason: "connected",
+      reason: replaced === undefined ? "connected" : "silent link replaced",
       lostCalls: 0,
     });
-    this.#pending.forEach((pending) => pending.send(link));
+    this.#pending.forEach((pending) => {
+      if (pending.link === undefined) pending.send(link);
+    });
+  }
+
+  #closeIfUnused(link: Link): void {
+    if (!this.#replaced.has(link)) return;
+    const isUsed = [...this.#pending.values()].some((pending) =>
+      pending.link === link
+    );
+    if (!isUsed) link.close("replaced");
   }
 
   #receive(frame: Frame): void {
-    if (frame.kind === "hello" && !this.#isExpected(frame)) {
-      this.#link?.close(`node ${frame.node} answers at the address`);
-      this.#reconnectAt = performance.now() + UNEXPECTED_PEER_DELAY_MS;
-      return;
-    }
-    const isFirst = frame.kind === "hello" && !this.#isOpen;
-    if (isFirst && this.#link !== undefined) this.#onOpened(this.#link);
     if ("load" in frame) {
       this.#load = frame.load;
       this.#options.statements.record(this.node, frame.load);
@@ -321,6 +308,7 @@
     if (pending === undefined) return;
     this.#pending.delete(id);
     pending.finish(result);
+    if (pending.link !== undefined) this.#closeIfUnused(pending.link);
     this.#closeIfRetired();
   }
 
@@ -331,51 +319,73 @@
   #cancel(id: number): void {
     const pending = this.#pending.get(id);
     if (pending === undefined) return;
-    if (pending.isSent) this.#link?.send({ kind: "cancel", id });
-    else {
-      this.#finish(id, failure("caller_cancelled", false));
+    if (pending.link !== undefined) pending.link.send({ kind: "cancel", id });
+    else this.#finish(id, failure("caller_cancelled", false));
+  }
+
+  #onOpeningFailed({ reason, isUnexpectedPeer }: OpeningFailure): void {
+    this.#opening = undefined;
+    this.#delayReconnect(isUnexpectedPeer ? UNEXPECTED_PEER_DELAY_MS : 0);
+    if (this.#link !== undefined) return;
+    this.#reportLost(reason, 0);
+    this.#failUnsentCalls();
+  }
+
+  #onLinkClosed(link: Link, reason: string): void {
+    const lost = [...this.#pending].filter(([, pending]) =>
+      pending.link === link
+    );
+    const wasReplaced = this.#replaced.delete(link);
+    if (!wasReplaced) {
+      this.#link = undefined;
+      this.#load = undefined;
+      this.#delayReconnect();
     }
+    if (!wasReplaced || lost.length > 0) this.#reportLost(reason, lost.length);
+    lost.forEach(([id, { finish }]) => {
+      this.#pending.delete(id);
+      finish(failure("connection_lost", true));
+    });
+    this.#closeIfRetired();
   }
 
-  #onLinkLost(reason: string): void {
-    clearTimeout(this.#openTimer);
-    this.#link = undefined;
-    this.#isOpen = false;
-    this.#socket = undefined;
-    this.#load = undefined;
+  #delayReconnect(minDelayMs = 0): void {
     this.#consecutiveFailures++;
-    this.#reconnectAt = performance.now() + Math.min(
+    const delayMs = Math.min(
       MAX_RECONNECT_DELAY_MS,
       FIRST_RECONNECT_DELAY_MS *
         2 ** Math.min(this.#consecutiveFailures - 1, 10),
     );
-    this.#options.onLinkStateChange?.({
-      node: this.node,
-      isOpen: false,
-      reason,
-      lostCalls: this.#pending.size,
-    });
-    this.#failPendingCalls("connection_lost");
+    this.#reconnectAt = performance.now() + Math.max(minDelayMs, delayMs);
   }
 
-  #failPendingCalls(error: ErrorKind): void {
-    const calls = [...this.#pending.values()];
-    this.#pending.clear();
-    calls.forEach(({ finish, isSent }) =>
-      finish(failure(isSent ? error : "connection_refused", isSent))
+  #reportLost(reason: string, lostCalls: number): void {
+    const { onLinkStateChange } = this.#options;
+    onLinkStateChange?.({ node: this.node, isOpen: false, reason, lostCalls });
+  }
+
+  #failUnsentCalls(): void {
+    const unsent = [...this.#pending].filter(([, { link }]) =>
+      link === undefined
     );
+    unsent.forEach(([id, { finish }]) => {
+      this.#pending.delete(id);
+      finish(failure("connection_refused", false));
+    });
     this.#closeIfRetired();
   }
 
   #abandonCalls(): void {
     const abandoned = [...this.#pending].filter((
-      [, { isIdempotent, isSent }],
-    ) => isIdempotent || !isSent);
-    abandoned.forEach(([id, { finish, isSent }]) => {
+      [, { isIdempotent, link }],
+    ) => isIdempotent || link === undefined);
+    abandoned.forEach(([id, { finish, link }]) => {
       this.#pending.delete(id);
-      if (isSent) this.#link?.send({ kind: "cancel", id });
+      link?.send({ kind: "cancel", id });
       finish(
-        failure(isSent ? "connection_lost" : "connection_refused", isSent),
+        link === undefined
+          ? failure("connection_refused", false)
+          : failure("connection_lost", true),
       );
     });
   }
--- a/packages/calling/peer_channel_test.ts
+++ b/packages/calling/peer_channel_test.ts
@@ -201,3 +201,66 @@
     wasSent: false,
   });
 });
+
+/** Peer whose links can be silenced, while new ones work. */
+async function startSilenceablePeer() {
+  const links: { socket: Socket; answer: () => void }[] = [];
+  const address = await startPeer((socket) => {
+    const waiting: (() => void)[] = [];
+    links.push({
+      socket,
+      answer: () => waiting.splice(0).forEach((answer) => answer()),
+    });
+    helloPeer((frame, link) => {
+      if (frame.kind !== "call") return;
+      const { id, isIdempotent } = frame;
+      const answer = () =>
+        link.send({
+          kind: "answer",
+          id,
+          status: 200,
+          headers: [],
+          isRefusedBelow: false,
+          load: IDLE,
+          body: Buffer.alloc(0),
+        });
+      if (isIdempotent) answer();
+      else waiting.push(answer);
+    })(socket);
+  });
+  return { address, links };
+}
+
+// Guards against a peer that gets no calls for seconds, because the open link to
+// it has gone silent.
+test("a silent link is replaced before it ends", async () => {
+  const { address, links } = await startSilenceablePeer();
+  const channel = channelTo(address);
+  expect((await run(channel)).result).toMatchObject({ status: 200 });
+  links[0]!.socket.pause();
+  const startedAt = performance.now();
+  expect((await run(channel)).result).toMatchObject({
+    error: "connection_lost",
+  });
+  await expect.poll(() => channel.isReachable, { interval: 20 }).toBe(true);
+  expect((await run(channel)).result).toMatchObject({ status: 200 });
+  expect(performance.now() - startedAt).toBeLessThan(1_500);
+});
+
+// Guards against answers that are lost with a replaced link, although the call
+// may not be repeated.
+test("a non-idempotent call keeps its link until its answer", async () => {
+  const { address, links } = await startSilenceablePeer();
+  const channel = channelTo(address);
+  expect((await run(channel)).result).toMatchObject({ status: 200 });
+  const slow = run(channel, { isIdempotent: false });
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  links[0]!.socket.pause();
+  await expect.poll(() => links.length, { timeout: 2_000 }).toBe(2);
+  await expect.poll(() => channel.isReachable, { interval: 20 }).toBe(true);
+  links[0]!.socket.resume();
+  links[0]!.answer();
+  expect((await slow).result).toMatchObject({ status: 200 });
+  await expect.poll(() => links[0]!.socket.destroyed).toBe(true);
+  expect((await run(channel)).result).toMatchObject({ status: 200 });
+});
