Split the gate and the worker connections by concern

The exchange, the averages of calls and what the worker says of itself have files of their own. No change of behaviour; the tests of the package pass.

--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -15,5 +15,4 @@
 export * from "./worker_connections.ts";
 export * from "./worker_gate.ts";
 export * from "./worker_gate_options.ts";
-export * from "./worker_limit.ts";
 export * from "./worker_state.ts";
--- a/packages/serving/worker_call.ts
+++ b/packages/serving/worker_call.ts
@@ -29,6 +29,17 @@
   readonly statement?: WorkerStatement;
 }
 
+/** What a worker says of itself in the header of an answer. */
+export interface AnswerStatement {
+  /**
+   * Requests a second that it takes from all hosts together, as text; undefined
+   * if it names no limit.
+   */
+  readonly requestLimit: string | undefined;
+  /** Whether it takes no more requests, because it stops. */
+  readonly isLeaving: boolean;
+}
+
 /** Complete answer of the worker. */
 export interface WorkerAnswer {
   readonly kind: "answer";
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -1,31 +1,18 @@
 import type { ErrorKind } from "@oleanderdeck/errors";
-import type { LoadReport, WorkerStatement } from "@oleanderdeck/hop";
+import type { LoadReport } from "@oleanderdeck/hop";
 import { RepeatDemand } from "@oleanderdeck/retries";
+import { CallEstimates } from "./_call_estimates.ts";
 import type { GateIntervalCounts } from "./overload_meter.ts";
 import { isNestedRank, priorityOfRank } from "./rank.ts";
 import { RankedQueue } from "./ranked_queue.ts";
 import type { WorkerCall, WorkerResult } from "./worker_call.ts";
-import type { AnswerStatement, ExchangeHandle } from "./worker_connections.ts";
+import type { ExchangeHandle } from "./worker_connections.ts";
 import type {
   CallHandle,
   DownstreamLoad,
   WorkerGateOptions,
 } from "./worker_gate_options.ts";
-import { WorkerLimit } from "./worker_limit.ts";
-
-/** Weight of a new sample in the exponential moving averages of the gate. */
-const SAMPLE_WEIGHT = 0.05;
-
-/**
- * Mean latency target that is assumed before the first call, in milliseconds.
- */
-const INITIAL_LATENCY_TARGET_MS = 1_000;
-
-/**
- * Mean time for which a call holds a slot that is assumed before the first
- * sample, in milliseconds.
- */
-const INITIAL_HOLD_MS = 50;
+import { WorkerSelfReport } from "./worker_self_report.ts";
 
 /**
  * Maximum wait for a slot of a request that begins a call chain, as a share of
@@ -84,14 +71,12 @@
 export class WorkerGate {
   readonly #options: WorkerGateOptions;
   readonly #queue = new RankedQueue<PendingCall>();
-  readonly #limit: WorkerLimit;
+  readonly #selfReport: WorkerSelfReport;
+  readonly #estimates = new CallEstimates();
   readonly #callsAtWorker = new Map<string, WorkerCall>();
   /** Requests during whose execution a call of the worker was refused. */
   readonly #refusedBelow = new WeakSet<WorkerCall>();
   #running = 0;
-  #holdMs = INITIAL_HOLD_MS;
-  #latencyTargetMs = INITIAL_LATENCY_TARGET_MS;
-  #failureShare = 0;
   #lastAnswerAt = performance.now();
   #refusedConnections = 0;
   #arrived = 0;
@@ -101,8 +86,6 @@
     windowMs: REPEAT_DEMAND_WINDOW_MS,
     now: () => performance.now(),
   });
-  /** Whether a caller's node knows what an earlier incarnation has said. */
-  #hasOutdatedCaller = false;
   #limitTimer: NodeJS.Timeout | undefined;
   #isClosed = false;
 
@@ -111,7 +94,7 @@
    */
   constructor(options: WorkerGateOptions) {
     this.#options = options;
-    this.#limit = new WorkerLimit({
+    this.#selfReport = new WorkerSelfReport({
       ...options,
       onChange: () => this.#startWaiting(),
     });
@@ -167,15 +150,16 @@
    * reach.
    */
   loadReport(downstream: DownstreamLoad): LoadReport {
+    const { statement } = this.#selfReport;
     return {
       running: this.#running,
       waiting: this.#queue.length,
       slots: this.isOpen ? this.#usableSlots : 0,
-      holdMs: Math.round(this.#holdMs),
-      failureShare: Math.round(this.#failureShare * 100) / 100,
+      holdMs: Math.round(this.#estimates.holdMs),
+      failureShare: Math.round(this.#estimates.failureShare * 100) / 100,
       repeatShare: this.#unusedRepeatShare,
       ...downstream,
-      ...(this.#statement && { statement: this.#statement }),
+      ...(statement && { statement }),
     };
   }
 
@@ -188,9 +172,8 @@
    */
   run(call: WorkerCall, finish: (result: WorkerResult) => void): CallHandle {
     this.#arrived++;
-    if (call.statement !== undefined) this.#learn(call.statement);
-    this.#latencyTargetMs += SAMPLE_WEIGHT *
-      (call.latencyTargetMs - this.#latencyTargetMs);
+    if (call.statement !== undefined) this.#selfReport.learn(call.statement);
+    this.#estimates.recordLatencyTarget(call.latencyTargetMs);
     const pending: PendingCall = {
       rank: call.rank,
       call,
@@ -210,42 +193,10 @@
     return { cancel: () => this.#cancel(pending) };
   }
 
-  // A process that was restarted beside a worker that goes on learns from its
-  // callers what the worker has said before.
-  #learn(statement: WorkerStatement): void {
-    const { tracker } = this.#options;
-    const { isLeaving, startedAt, workerId } = statement;
-    const isUnknown = tracker.state.workerId === "";
-    if (!isUnknown && !tracker.isCurrent(statement)) {
-      this.#hasOutdatedCaller = true;
-      return;
-    }
-    if (isLeaving) this.#markLeft(workerId, startedAt);
-    if (!isUnknown) this.#limit.learn(statement.requestsPerSecond);
-  }
-
-  #markLeft(workerId: string, startedAt?: number): void {
-    const { observer, tracker } = this.#options;
-    if (tracker.hasLeft) return;
-    if (tracker.markLeft(workerId, startedAt)) observer?.onLeaving(workerId);
-  }
-
-  // What the worker has said; undefined as long as it has said nothing and no
-  // caller knows what an earlier one has said.
-  get #statement(): WorkerStatement | undefined {
-    const { hasLeft: isLeaving, state } = this.#options.tracker;
-    const isOfInterest = isLeaving || this.#limit.hasNamedLimit ||
-      this.#hasOutdatedCaller;
-    if (!isOfInterest) return undefined;
-    const { startedAt, workerId } = state;
-    const requestsPerSecond = this.#limit.requests.perSecond;
-    return { workerId, startedAt, requestsPerSecond, isLeaving };
-  }
-
   /** Slots that calls can occupy within the limit of the worker. */
   get #usableSlots(): number {
     const { slots } = this.#options.tracker.state;
-    return this.#limit.requests.usableSlots(slots, this.#holdMs);
+    return this.#selfReport.limit.usableSlots(slots, this.#estimates.holdMs);
   }
 
   /**
@@ -254,7 +205,7 @@
    */
   get #startDelayMs(): number {
     return this.#running < this.#options.tracker.state.slots
-      ? this.#limit.requests.waitMs(0)
+      ? this.#selfReport.limit.waitMs(0)
       : Infinity;
   }
 
@@ -272,7 +223,7 @@
       refused: this.#refused,
       running: this.#running,
       waitMs: this.#expectedWaitMs(Infinity),
-      latencyTargetMs: this.#latencyTargetMs,
+      latencyTargetMs: this.#estimates.latencyTargetMs,
       slots: this.#usableSlots,
     };
     this.#arrived = 0;
@@ -289,7 +240,7 @@
 
   #enqueue(pending: PendingCall): void {
     const { call } = pending;
-    const usefulWaitMs = call.timeLeftMs - 2 * this.#holdMs;
+    const usefulWaitMs = call.timeLeftMs - 2 * this.#estimates.holdMs;
     const maxWaitMs = isNestedRank(call.rank)
       ? usefulWaitMs
       : Math.min(call.latencyTargetMs * WAIT_SHARE_OF_TARGET, usefulWaitMs);
@@ -308,8 +259,8 @@
     const waiting = this.#queue.lengthBefore(rank);
     const callsAhead = Math.max(0, waiting + this.#running + 1 - slots);
     return Math.max(
-      callsAhead * this.#holdMs / Math.max(1, slots),
-      this.#limit.requests.waitMs(waiting),
+      callsAhead * this.#estimates.holdMs / Math.max(1, slots),
+      this.#selfReport.limit.waitMs(waiting),
     );
   }
 
@@ -334,7 +285,7 @@
       timeLeftMs + LOST_ANSWER_MARGIN_MS,
     );
     this.#running++;
-    this.#limit.requests.countCall();
+    this.#selfReport.limit.countCall();
     this.#callsAtWorker.set(call.requestId, call);
     pending.startedAt = now;
     let isFinished = false;
@@ -356,19 +307,10 @@
         ],
       },
       finish,
-      (stated) => this.#observe(workerId, stated),
+      (stated) => this.#selfReport.observe(workerId, stated),
     );
   }
 
-  #observe(
-    workerId: string,
-    { isLeaving, requestLimit }: AnswerStatement,
-  ): void {
-    if (workerId !== this.#options.tracker.state.workerId) return;
-    this.#limit.observe(requestLimit);
-    if (isLeaving) this.#markLeft(workerId);
-  }
-
   #finish(pending: PendingCall, result: WorkerResult): void {
     clearTimeout(pending.timer);
     this.#running--;
@@ -383,8 +325,7 @@
       (result.error === "caller_cancelled" ||
         result.error === "malformed_request");
     if (isAnswer) {
-      const heldMs = performance.now() - pending.startedAt;
-      this.#holdMs += SAMPLE_WEIGHT * (heldMs - this.#holdMs);
+      this.#estimates.recordHold(performance.now() - pending.startedAt);
       this.#lastAnswerAt = performance.now();
       this.#refusedConnections = 0;
     } else if (
@@ -392,9 +333,7 @@
       ++this.#refusedConnections >= REFUSED_CONNECTIONS_TO_SUSPEND
     ) this.#options.tracker.markNotReady();
     if (!isCausedByCaller) {
-      const failureSample = isAnswer && result.status < 500 ? 0 : 1;
-      this.#failureShare += SAMPLE_WEIGHT *
-        (failureSample - this.#failureShare);
+      this.#estimates.recordOutcome(!isAnswer || result.status >= 500);
     }
     pending.finish(
       isAnswer
@@ -468,7 +407,10 @@
 
   #retryAfterMs(rank: number): number {
     return Math.round(
-      Math.min(MAX_RETRY_AFTER_MS, this.#holdMs + this.#expectedWaitMs(rank)),
+      Math.min(
+        MAX_RETRY_AFTER_MS,
+        this.#estimates.holdMs + this.#expectedWaitMs(rank),
+      ),
     );
   }
 }
