--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -1,9 +1,9 @@
 import type { ErrorKind } from "@oleanderdeck/errors";
 import type { LoadReport } from "@oleanderdeck/hop";
-import { RepeatDemand } from "@oleanderdeck/retries";
 import { CallEstimates } from "./_call_estimates.ts";
+import { RepeatAdmission } from "./_repeat_admission.ts";
 import type { GateIntervalCounts } from "./overload_meter.ts";
-import { isNestedRank, priorityOfRank } from "./rank.ts";
+import { isNestedRank } from "./rank.ts";
 import { RankedQueue } from "./ranked_queue.ts";
 import type { WorkerCall, WorkerResult } from "./worker_call.ts";
 import type { ExchangeHandle } from "./worker_connections.ts";
@@ -40,13 +40,6 @@
  */
 const LOST_ANSWER_MARGIN_MS = 300;
 
-/**
- * Time for which repeats that were asked for keep as many of the budget from
- * less important ones, in milliseconds. It is about half of the window of the
- * budget: what the less important ones use is back only after a window.
- */
-const REPEAT_DEMAND_WINDOW_MS = 5_000;
-
 /** Maximum time after which a retry is suggested, in milliseconds. */
 const MAX_RETRY_AFTER_MS = 2_000;
 
@@ -72,6 +65,7 @@
   readonly #options: WorkerGateOptions;
   readonly #queue = new RankedQueue<PendingCall>();
   readonly #selfReport: WorkerSelfReport;
+  readonly #repeats: RepeatAdmission;
   readonly #estimates = new CallEstimates();
   readonly #callsAtWorker = new Map<string, WorkerCall>();
   /** Requests during whose execution a call of the worker was refused. */
@@ -81,11 +75,6 @@
   #refusedConnections = 0;
   #arrived = 0;
   #refused = 0;
-  #unusedRepeatShare = 1;
-  readonly #repeatDemand = new RepeatDemand({
-    windowMs: REPEAT_DEMAND_WINDOW_MS,
-    now: () => performance.now(),
-  });
   #limitTimer: NodeJS.Timeout | undefined;
   #isClosed = false;
 
@@ -94,6 +83,7 @@
    */
   constructor(options: WorkerGateOptions) {
     this.#options = options;
+    this.#repeats = new RepeatAdmission(options.repeats);
     this.#selfReport = new WorkerSelfReport({
       ...options,
       onChange: () => this.#startWaiting(),
@@ -157,7 +147,7 @@
       slots: this.isOpen ? this.#usableSlots : 0,
       holdMs: Math.round(this.#estimates.holdMs),
       failureShare: Math.round(this.#estimates.failureShare * 100) / 100,
-      repeatShare: this.#unusedRepeatShare,
+      repeatShare: this.#repeats.unusedShare,
       ...downstream,
       ...(statement && { statement }),
     };
@@ -185,7 +175,7 @@
     };
     if (!this.isOpen) {
       this.#refuse(pending, this.#isClosed ? "draining" : "no_worker");
-    } else if (call.isRepeat && !this.#mayAdmitRepeat(call)) {
+    } else if (call.isRepeat && !this.#repeats.mayAdmit(call.rank)) {
       this.#refuseRepeat(pending);
     } else if (this.#queue.length === 0 && this.#startDelayMs === 0) {
       this.#start(pending);
@@ -209,13 +199,6 @@
       : Infinity;
   }
 
-  #mayAdmitRepeat({ rank }: WorkerCall): boolean {
-    const priority = priorityOfRank(rank);
-    this.#repeatDemand.record(priority);
-    return this.#options.repeats.remaining -
-        this.#repeatDemand.moreImportantThan(priority) >= 1;
-  }
-
   /** Returns the counts since the last call of this method and resets them. */
   takeIntervalCounts(): GateIntervalCounts {
     const interval = {
@@ -228,7 +211,7 @@
     };
     this.#arrived = 0;
     this.#refused = 0;
-    this.#updateUnusedRepeatShare();
+    this.#repeats.update();
     return interval;
   }
 
@@ -272,10 +255,8 @@
       return this.#refuse(pending, "deadline_too_short");
     }
     const { call } = pending;
-    const { names, connections, observer, repeats, tracker } = this.#options;
-    if (!call.isRepeat) repeats.countRequest();
-    else if (!repeats.take()) return this.#refuseRepeat(pending);
-    else this.#updateUnusedRepeatShare();
+    const { names, connections, observer, tracker } = this.#options;
+    if (!this.#repeats.take(call.isRepeat)) return this.#refuseRepeat(pending);
     observer?.onRunning(call);
     // The worker ends the call itself after the time in the request's header.
     // An exchange that lasts longer has lost its answer and would occupy its
@@ -316,10 +297,8 @@
     this.#running--;
     this.#untrackCall(pending, result);
     const isAnswer = result.kind === "answer";
-    // Reverts the count, since the node of the next worker counts the call as a
-    // first attempt.
     if (!isAnswer && !result.wasSent && !pending.call.isRepeat) {
-      this.#options.repeats.uncountRequest();
+      this.#repeats.uncountRequest();
     }
     const isCausedByCaller = !isAnswer &&
       (result.error === "caller_cancelled" ||
@@ -384,16 +363,11 @@
   }
 
   #refuseRepeat(pending: PendingCall): void {
-    this.#updateUnusedRepeatShare();
+    this.#repeats.update();
     this.#options.observer?.onRepeatRefused(pending.call);
     this.#refuse(pending, "retry_limit");
   }
 
-  #updateUnusedRepeatShare(): void {
-    const { unusedShare } = this.#options.repeats;
-    this.#unusedRepeatShare = Math.round(unusedShare * 100) / 100;
-  }
-
   #refuse(pending: PendingCall, error: ErrorKind): void {
     if (error === "queue_full") this.#refused++;
     pending.finish({
