--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -16,7 +16,7 @@
 import { CallerConnection, type Exchange } from "./_caller_connection.ts";
 import { RequestBodies } from "./_request_bodies.ts";
 import { RequestHeaderReader, timeLimitMs } from "./_request_header.ts";
-import { StopAdmission, type StopTimes } from "./_stop_admission.ts";
+import { StopAdmission, type StopTimes } from "./stop_admission.ts";
 import { type CallerRequest, CallTask, type TaskResult } from "./call_task.ts";
 import type {
   CallerProxyObserver,
--- /dev/null
+++ b/packages/sidecar/_stop_times.ts
@@ -0,0 +1,31 @@
+import type { StopTimes } from "@oleanderdeck/calling";
+
+/**
+ * Time within which callers notice a stop; after it the node stops waiting for
+ * them to leave, in milliseconds.
+ */
+const CALLERS_LEAVE_TIMEOUT_MS = 2_200;
+
+/** Maximum share of the time for a stop that callers get to leave. */
+const CALLERS_LEAVE_SHARE = 0.4;
+
+/** Share of the time for a stop after which new root requests are refused. */
+const REFUSE_NEW_AFTER_SHARE = 0.5;
+
+/** Time at the end of a stop that is reserved for closing, in milliseconds. */
+const CLOSE_RESERVE_MS = 250;
+
+/**
+ * Returns the times of a stop that begins now.
+ *
+ * @param graceMs Time after which the process is killed, in milliseconds.
+ */
+export function stopTimes(graceMs: number): StopTimes {
+  const now = performance.now();
+  return {
+    callersLeaveAt: now +
+      Math.min(CALLERS_LEAVE_TIMEOUT_MS, graceMs * CALLERS_LEAVE_SHARE),
+    refusesAllAt: now + graceMs * REFUSE_NEW_AFTER_SHARE,
+    closesAt: now + graceMs - CLOSE_RESERVE_MS,
+  };
+}
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -14,7 +14,9 @@
   type WorkerHeartbeat,
   WorkerTracker,
 } from "@oleanderdeck/serving";
+import { addNodeGauges } from "./_node_gauges.ts";
 import { sleep } from "./_sleep.ts";
+import { stopTimes } from "./_stop_times.ts";
 import { FleetRepeatLimit } from "./fleet_repeat_limit.ts";
 import { type FrameSink, PeerStateSync } from "./peer_state_sync.ts";
 import { LoadReporter } from "./load_reporter.ts";
@@ -46,15 +48,6 @@
  */
 const CALLERS_IDLE_MS = 600;
 
-/**
- * Time within which callers notice a stop; after it the node stops waiting for
- * them to leave, in milliseconds.
- */
-const CALLERS_LEAVE_TIMEOUT_MS = 2_200;
-
-/** Maximum share of the time for a stop that callers get to leave. */
-const CALLERS_LEAVE_SHARE = 0.4;
-
 /** Interval at which a stop polls the work in progress, in milliseconds. */
 const STOP_POLL_MS = 25;
 
@@ -71,12 +64,6 @@
  */
 const WITHDRAWAL_TIMEOUT_MS = 300;
 
-/** Time at the end of a stop that is reserved for closing, in milliseconds. */
-const CLOSE_RESERVE_MS = 250;
-
-/** Share of the time for a stop after which new root requests are refused. */
-const REFUSE_NEW_AFTER_SHARE = 0.5;
-
 /** Options of {@linkcode SidecarNode}. */
 export interface SidecarNodeOptions {
   readonly settings: SidecarSettings;
@@ -200,26 +187,14 @@
       node: settings.node,
       onOwnRecord: (record) => this.#adoptOwnRecord(record),
     });
-    options.metrics?.gauge("calls_running", () => this.#reporter.load.running);
-    options.metrics?.gauge("calls_waiting", () => this.#reporter.load.waiting);
-    options.metrics?.gauge("slots", () => this.#reporter.load.slots);
-    options.metrics?.gauge("pressure", () => this.#reporter.pressure);
-    options.metrics?.gauge(
-      "repeats_left",
-      () => this.#repeatLimit.budget.remaining,
-    );
-    options.metrics?.gauge(
-      "store_silent_ms",
-      () => this.#storeSync.availability.silentMs,
-    );
-    options.metrics?.gauge(
-      "follows_store",
-      () => this.#storeSync.configuration.isFollowing ? 1 : 0,
-    );
-    options.metrics?.gauge(
-      "configuration_version",
-      () => this.#configuration.version,
-    );
+    if (options.metrics !== undefined) {
+      addNodeGauges(options.metrics, {
+        reporter: this.#reporter,
+        repeats: this.#repeatLimit.budget,
+        storeSync: this.#storeSync,
+        configuration: this.#configuration,
+      });
+    }
     this.#tracker.onChange(() => this.#publishRecord());
     this.#configuration.onChange(({ version }, source) => {
       log.write("info", "configuration_taken", {
@@ -338,29 +313,19 @@
     this.#isStopping = true;
     const { graceMs, node } = this.#settings;
     this.#options.log.write("info", "node_stopping", { node });
-    const startedAt = performance.now();
-    const leaveTimeoutMs = Math.min(
-      CALLERS_LEAVE_TIMEOUT_MS,
-      graceMs * CALLERS_LEAVE_SHARE,
-    );
-    const closesAfterMs = graceMs - CLOSE_RESERVE_MS;
-    this.#callerProxy.startStop({
-      callersLeaveAt: startedAt + leaveTimeoutMs,
-      refusesAllAt: startedAt + graceMs * REFUSE_NEW_AFTER_SHARE,
-      closesAt: startedAt + closesAfterMs,
-    });
+    const times = stopTimes(graceMs);
+    this.#callerProxy.startStop(times);
     if (!this.#tracker.state.isReady) void this.#storeSync.records.withdraw();
-    const elapsed = () => performance.now() - startedAt;
     // The worker accepts calls until the callers on this host have left.
     while (
       this.#callerProxy.sinceRootRequestMs < CALLERS_IDLE_MS &&
-      elapsed() < leaveTimeoutMs
+      performance.now() < times.callersLeaveAt
     ) {
       await sleep(STOP_POLL_MS);
     }
     this.#gate.close();
     this.#peerServer.sendChangedLoad();
-    while (elapsed() < closesAfterMs && !this.#isIdle()) {
+    while (performance.now() < times.closesAt && !this.#isIdle()) {
       await sleep(STOP_POLL_MS);
     }
     clearInterval(this.#checkTimer);
