Check all links before calls are taken off a silent one

All links were checked one after another, and each silent one gave up its calls at once, so their repeats went to links that were as silent but not checked yet, and were used up there.

Before: "when all links go silent, none counts as reachable at the first repeat": n2 and n3 counted as reachable.

--- a/packages/calling/peer_channel.ts
+++ b/packages/calling/peer_channel.ts
@@ -226,7 +226,9 @@
       return this.#opening?.close("The peer answers on its link again");
     }
     this.open();
-    this.#abandonCalls(link);
+    // Other links may have become silent as well. All are checked first, so that
+    // no call is repeated on one of them.
+    queueMicrotask(() => this.#abandonCalls(link));
   }
 
   /** Closes the channel when its pending calls are finished. */
--- a/packages/sidecar/worker_channels_test.ts
+++ b/packages/sidecar/worker_channels_test.ts
@@ -8,6 +8,7 @@
 import { RepeatBudget } from "@oleanderdeck/retries";
 import { EventLog } from "@oleanderdeck/observability";
 import {
+  type WorkerCall,
   WorkerConnections,
   WorkerGate,
   WorkerTracker,
@@ -27,6 +28,20 @@
   unrepeatableRoutes: [],
 };
 
+const CALL: WorkerCall = {
+  requestId: "r1",
+  route: "member-read",
+  method: "GET",
+  target: "/",
+  headers: [],
+  body: Buffer.alloc(0),
+  timeLeftMs: 1_000,
+  latencyTargetMs: 500,
+  rank: 8,
+  isIdempotent: true,
+  isRepeat: false,
+};
+
 const closers: (() => void)[] = [];
 let directory: WorkerDirectory;
 let channels: WorkerChannels;
@@ -73,8 +88,12 @@
   });
   closers.push(() => channels.close(), () => connections.close());
 });
+afterEach(() => acceptedSockets.clear());
 afterEach(() => closers.splice(0).forEach((close) => close()));
 
+/** Sockets of the links to all workers, on the side of their nodes. */
+const acceptedSockets = new Set<Socket>();
+
 /** Adds a worker of `members` that reports a load, and waits for the report. */
 async function addWorker(
   node: string,
@@ -83,6 +102,7 @@
   const sockets = new Set<Socket>();
   const server = createServer((socket) => {
     sockets.add(socket);
+    acceptedSockets.add(socket);
     new Link(acceptedLinkSocket(socket), {
       onFrame: () => undefined,
       onClose: () => undefined,
@@ -122,19 +142,10 @@
 // A link opens with the first call.
 function openLinks(): void {
   channels.ofService("members").forEach((channel) => {
-    const callHandle = channel.run({
-      requestId: "r1",
-      route: "member-read",
-      method: "GET",
-      target: "/",
-      headers: [],
-      body: Buffer.alloc(0),
-      timeLeftMs: 1_000,
-      latencyTargetMs: 500,
-      rank: 8,
-      isIdempotent: true,
-      isRepeat: false,
-    }, { service: "members", finish: () => undefined });
+    const callHandle = channel.run(CALL, {
+      service: "members",
+      finish: () => undefined,
+    });
     closers.push(() => callHandle.cancel());
   });
 }
@@ -193,3 +204,31 @@
   expect(channels.isRepeatBudgetLow("members", "menu-upload")).toBe(true);
   expect(channels.isRepeatBudgetLow("members", "member-read")).toBe(false);
 });
+
+// Guards against calls that are repeated on a second silent link, because it was
+// checked after the first.
+test("when all links go silent, none counts as reachable at the first repeat", async () => {
+  for (const node of ["n1", "n2", "n3"]) await addWorker(node, {});
+  acceptedSockets.forEach((socket) => socket.pause());
+  // All links have been silent for so long that the first check pings each.
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  const timer = setInterval(() => channels.check(), 100);
+  closers.push(() => clearInterval(timer));
+  const workers = channels.ofService("members");
+  const reachable = await Promise.all(
+    workers.map((worker) =>
+      new Promise<readonly string[]>((resolve) =>
+        worker.run({ ...CALL, requestId: `r-${worker.node}` }, {
+          service: "members",
+          finish: () =>
+            resolve(
+              workers.filter(({ isReachable }) => isReachable)
+                .map(({ node }) => node),
+            ),
+        })
+      )
+    ),
+  );
+  expect(reachable).toEqual([[], [], []]);
+  expect(workers.map(({ isOpening }) => isOpening)).toEqual([true, true, true]);
+});
