Pass on a configuration that few nodes have announced

Where the store turned away all six elected nodes in silence, the others learnt a new version by their own reads of outdated data, or from a peer, and told nobody: only nodes that follow the store announced. A node that has taken a version and heard it named less than twice within 100 to 200 ms now announces it as well. With the elected nodes in touch nothing more is sent.

--- a/packages/sidecar/_test_store.ts
+++ b/packages/sidecar/_test_store.ts
@@ -30,6 +30,8 @@
   readonly recordReaders: string[] = [];
   /** Nodes whose reads of the latest configuration get no answer. */
   readonly silentNodes = new Set<string>();
+  /** Nodes whose reads of the configuration get no answer, outdated or not. */
+  readonly cutOffNodes = new Set<string>();
   readonly entries = new Map<string, VersionedRecord>();
   configuration: Configuration | undefined;
   configurationRevision = 0;
@@ -163,6 +165,7 @@
     if (this.#store.configurationRevision <= revision) {
       await this.#store.waitForChange(waitMs);
       if (mayBeOutdated) await this.#store.waitUntilOutdated();
+      if (this.#store.cutOffNodes.has(this.#node)) await new Promise(() => {});
       await this.#checkReachable();
     }
     return {
@@ -174,6 +177,7 @@
   }
 
   async #startConfigurationRead({ mayBeOutdated }: ReadOptions): Promise<void> {
+    if (this.#store.cutOffNodes.has(this.#node)) await new Promise(() => {});
     if (mayBeOutdated) return;
     if (this.#store.silentNodes.has(this.#node)) await new Promise(() => {});
     this.#store.configurationReaders.push(this.#node);
--- a/packages/sidecar/configuration_spread_test.ts
+++ b/packages/sidecar/configuration_spread_test.ts
@@ -92,3 +92,19 @@
   fleet.configure(3, [route]);
   await expectInForce(3, hosts);
 });
+
+// Guards against watchers that the store turns away in silence and that learn a
+// configuration from nobody, since no other node announces it.
+test("a configuration reaches watchers that are all cut off in silence", async () => {
+  const watching = await watchers();
+  // The others have watched with the delay of the outdated data so far.
+  fleet.store.lagMs = 0;
+  watching.forEach((name) => fleet.store.cutOffNodes.add(name));
+  const [other] = hosts.filter(({ name }) => !watching.has(name));
+  await fleet.kill(other!);
+  await fleet.restart(other!);
+  await expect.poll(() => other!.node.isReady).toBe(true);
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  fleet.configure(3, [route]);
+  await expectInForce(3, hosts);
+});
--- a/packages/sidecar/peer_state_sync.ts
+++ b/packages/sidecar/peer_state_sync.ts
@@ -58,8 +58,8 @@
   readonly #options: PeerStateSyncOptions;
   /** Version that was requested last, and the time of the request. */
   #requested = { version: 0, at: -Infinity };
-  /** Newest version that a peer has named, and the time at which it did. */
-  #announced = { version: 0, at: -Infinity };
+  /** Newest version that peers have named, the first time and how often. */
+  #announced = { version: 0, at: -Infinity, count: 0 };
   #encoded: { version: number; body: Buffer } | undefined;
 
   /** @param options Configuration and directory that are exchanged. */
@@ -77,6 +77,11 @@
       : Infinity;
   }
 
+  /** Returns how often peers have named a version or a newer one. */
+  announcementsOf(version: number): number {
+    return version <= this.#announced.version ? this.#announced.count : 0;
+  }
+
   /** Announces the version of this node's configuration. */
   get announcement(): VersionFrame {
     return {
@@ -99,8 +104,9 @@
     const { configurationVersion: version } = frame;
     const { configuration, isFollowing, isStoreUnavailable } = this.#options;
     if (version > this.#announced.version) {
-      this.#announced = { version, at: performance.now() };
+      this.#announced = { version, at: performance.now(), count: 0 };
     }
+    if (version === this.#announced.version) this.#announced.count++;
     if (version <= configuration.version || this.#isRequested(version)) return;
     this.#requested = { version, at: performance.now() };
     const isCurrentRelease = frame.kind === "version" && frame.followsStore;
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -33,6 +33,15 @@
 /** Checks after which a node that watches the store announces it again. */
 const CHECKS_PER_ANNOUNCEMENT = 2;
 
+/**
+ * Time in which announcements of a new version arrive, before a node that does
+ * not follow the store passes it on, in milliseconds.
+ */
+const HEARING_MS = 100;
+
+/** Announcements of a version after which a node does not pass it on as well. */
+const ENOUGH_ANNOUNCEMENTS = 2;
+
 /** Share of the process's memory that incomplete answers may use. */
 const ANSWER_MEMORY_SHARE = 0.15;
 
@@ -203,10 +212,8 @@
         announced_ms: Math.round(this.#peerStateSync.sinceAnnounced(version)),
         store_silent_ms: Math.round(this.#storeSync.availability.silentMs),
       });
-      if (!this.#storeSync.configuration.isFollowing) return;
-      const { announcement } = this.#peerStateSync;
-      this.#peerServer.broadcast(announcement);
-      this.#channels.broadcast(announcement);
+      if (this.#storeSync.configuration.isFollowing) this.#announceVersion();
+      else this.#announceIfUnheard(version);
     });
   }
 
@@ -416,6 +423,22 @@
     }
   }
 
+  #announceVersion(): void {
+    const { announcement } = this.#peerStateSync;
+    this.#peerServer.broadcast(announcement);
+    this.#channels.broadcast(announcement);
+  }
+
+  // The nodes that follow the store announce each version at once. Where they
+  // cannot reach it, those which have the version by other ways pass it on.
+  #announceIfUnheard(version: number): void {
+    setTimeout(() => {
+      const heard = this.#peerStateSync.announcementsOf(version);
+      const isCurrent = this.#configuration.version === version;
+      if (isCurrent && heard < ENOUGH_ANNOUNCEMENTS) this.#announceVersion();
+    }, HEARING_MS * (1 + Math.random())).unref();
+  }
+
   #memoryShare(share: number): number {
     return this.#settings.memoryMb * 1024 * 1024 * share;
   }
