Send heartbeats of the workers in the test of the bound of repeats

The test failed once beside other processes (no repeat at all, more than 20 expected). Traced with the nodes' logs: its workers sent a single heartbeat, and where the phase in which they lose all answers took more than 3 s, their nodes took them for crashed (worker_silent), as they should. No check is changed.

--- a/packages/sidecar/repeat_limit_test.ts
+++ b/packages/sidecar/repeat_limit_test.ts
@@ -19,6 +19,9 @@
 
 const HOSTS_PER_SERVICE = 2;
 
+/** Interval of the heartbeats of all workers, in milliseconds. */
+const HEARTBEAT_MS = 500;
+
 /** Number of requests in flight at the same time. */
 const CONCURRENT_REQUESTS = 6;
 
@@ -26,13 +29,23 @@
 let tracker: RepeatTracker;
 /** Service whose workers lose the answer to the first attempt of a request. */
 let answerLossService: string | undefined;
+let heartbeats: NodeJS.Timeout;
 
 beforeEach(() => {
   fleet = new TestFleet();
   tracker = new RepeatTracker();
   answerLossService = undefined;
+  // Without heartbeats, workers that lose all answers count as crashed after 3 s,
+  // which a slow machine needs for a phase of the test.
+  heartbeats = setInterval(
+    () => fleet.hosts.forEach((host) => void fleet.sendHeartbeat(host)),
+    HEARTBEAT_MS,
+  );
+});
+afterEach(async () => {
+  clearInterval(heartbeats);
+  await fleet.close();
 });
-afterEach(() => fleet.close());
 
 function nextService(service: string) {
   const index = CHAIN.findIndex((entry) => entry.service === service);
