--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -58,8 +58,8 @@
  * Admission control in front of the worker beside this node; all calls to the
  * worker pass it. It sends at most as many calls at the same time as the worker
  * has slots, and no more a second than the worker takes; it queues others by rank
- * and refuses, unsent, those that would wait too long. Repeats, which include the calls that the execution of a repeat
- * makes, are limited by a budget.
+ * and refuses, unsent, those that would wait too long. Repeats, which include the
+ * calls that the execution of a repeat makes, are limited by a budget.
  */
 export class WorkerGate {
   readonly #options: WorkerGateOptions;
