review: draw free ports for each run

Cause: fixed ports could be in use, and a case that was ended left its processes.

Change: the ports are drawn and checked before a run; whatever ends a case ends its processes.

--- a/review/2/play.mjs
+++ b/review/2/play.mjs
@@ -36,7 +36,7 @@
   dirname(fileURLToPath(import.meta.url)),
   async ({ record, isTroubled, makeFleet }) => {
     const worker = { workMs: 210 };
-    const fleet = makeFleet([
+    const fleet = await makeFleet([
       { service: "bookings", zone: "wa-a", slots: 68, worker },
       { service: "bookings", zone: "wa-b", slots: 68, worker },
       { service: "menus", zone: "wa-a", slots: 51, worker },
--- a/review/3/play.mjs
+++ b/review/3/play.mjs
@@ -35,7 +35,7 @@
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
   async ({ record, isTroubled, makeFleet }) => {
-    const fleet = makeFleet(uploadHosts({ readMs: 160 }));
+    const fleet = await makeFleet(uploadHosts({ readMs: 160 }));
     await fleet.start(firstConfiguration());
     const memory = watchMemory(fleet, record);
     const clients = fleet.hosts.slice(0, 2).map((host) =>
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -37,18 +37,60 @@
 export const HEARTBEAT_MS = 1500;
 export const MEMORY_MB = 350;
 
-/** Ports, which are the same on all hosts of a deployment. */
-const PORTS = {
-  inbound: 8300,
-  worker: 8301,
-  readiness: 8302,
-  outbound: 8304,
-  control: 8306,
-  first: 7620,
-  last: 7635,
-  store: 8309,
-  metrics: 9464,
-};
+/** Port of the metrics, which the deploy file states. */
+const METRICS_PORT = 9464;
+
+/** Sets of ports and addresses that are tried until all of one set are free. */
+const MAX_TRIES = 20;
+
+/** Draws ports, which are the same on all hosts of a deployment. */
+function drawPorts() {
+  const first = 10_000 + 100 * Math.floor(150 * Math.random());
+  return {
+    inbound: first,
+    worker: first + 1,
+    readiness: first + 2,
+    outbound: first + 4,
+    control: first + 6,
+    store: first + 9,
+    firstOfRange: first + 20,
+    lastOfRange: first + 35,
+  };
+}
+
+/** Draws the first three bytes of the addresses of a deployment. */
+function drawPrefix() {
+  const byte = () => 1 + Math.floor(Math.random() * 250);
+  return `127.${byte()}.${byte()}`;
+}
+
+function isFree(host, port) {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
+  });
+}
+
+/** Returns an address prefix and ports that no other program uses. */
+async function freeNetwork(hostCount) {
+  for (let tries = 0; tries < MAX_TRIES; tries++) {
+    const prefix = drawPrefix();
+    const ports = drawPorts();
+    const hosts = Array.from(
+      { length: hostCount },
+      (_, index) => hostAddress(prefix, index),
+    );
+    const checks = [storeAddress(prefix), ...hosts].flatMap((host) =>
+      [METRICS_PORT, ...Object.values(ports)].map((port) => isFree(host, port))
+    );
+    if ((await Promise.all(checks)).every(Boolean)) return { prefix, ports };
+  }
+  throw new Error("No free ports were found");
+}
+
+const storeAddress = (prefix) => `${prefix}.2`;
+const hostAddress = (prefix, index) => `${prefix}.${index + 10}`;
 
 /** Writes the log of a case, with the seconds since its start. */
 export class Record {
@@ -86,7 +128,7 @@
     this.index = index;
     this.service = service;
     this.zone = zone;
-    this.ip = `${fleet.prefix}.${index + 10}`;
+    this.ip = hostAddress(fleet.prefix, index);
     this.node = `sidecar-${zone}-${index + 1}`;
     this.starts = 0;
     this.ends = [];
@@ -99,8 +141,8 @@
       zone,
       slots,
       host: this.ip,
-      port: PORTS.worker,
-      controlPort: PORTS.control,
+      port: fleet.ports.worker,
+      controlPort: fleet.ports.control,
       heartbeatMs: HEARTBEAT_MS,
       record: fleet.record,
       ...worker,
@@ -109,11 +151,12 @@
   }
 
   get outbound() {
-    return { host: this.ip, port: PORTS.outbound };
+    return { host: this.ip, port: this.fleet.ports.outbound };
   }
 
   #settings() {
     const { fleet, ip, node, service, zone } = this;
+    const { ports } = fleet;
     const lines = [
       `node=${node}`,
       "role=sidecar-node",
@@ -123,11 +166,11 @@
       `zone=${zone}`,
       "region=r",
       `zones.${zone}=r`,
-      `listen.inbound=${ip}:${PORTS.inbound}`,
-      `listen.outbound=${ip}:${PORTS.outbound}`,
-      `listen.readinessAddress=${ip}:${PORTS.readiness}`,
-      `listen.control=${ip}:${PORTS.control}`,
-      `portRange=${PORTS.first},${PORTS.last}`,
+      `listen.inbound=${ip}:${ports.inbound}`,
+      `listen.outbound=${ip}:${ports.outbound}`,
+      `listen.readinessAddress=${ip}:${ports.readiness}`,
+      `listen.control=${ip}:${ports.control}`,
+      `portRange=${ports.firstOfRange},${ports.lastOfRange}`,
       "seeds=",
       "bootstrap=true",
       "inFaultBudget=false",
@@ -147,9 +190,9 @@
       ...Object.entries(BOUNDS).map(([name, value]) =>
         `bounds.${name}=${value}`
       ),
-      `appAddr=${ip}:${PORTS.worker}`,
+      `appAddr=${ip}:${ports.worker}`,
       `service=${service}`,
-      `platform.address=${fleet.storeHost}:${PORTS.store}`,
+      `platform.address=${fleet.storeHost}:${ports.store}`,
       "platform.form=objects",
       "platform.writesPerS=400",
       "platform.readsPerS=2000",
@@ -213,7 +256,7 @@
   async isReady() {
     try {
       const answer = await fetch(
-        `http://${this.ip}:${PORTS.readiness}/readyz`,
+        `http://${this.ip}:${this.fleet.ports.readiness}/readyz`,
         { signal: AbortSignal.timeout(500) },
       );
       await answer.text();
@@ -226,12 +269,12 @@
 
 /** The deployment. */
 export class Fleet {
-  constructor({ record, hosts }) {
+  constructor({ record, hosts, network }) {
     this.record = record;
     this.directory = mkdtempSync(join(tmpdir(), "review-"));
-    const byte = () => 1 + Math.floor(Math.random() * 250);
-    this.prefix = `127.${byte()}.${byte()}`;
-    this.storeHost = `${this.prefix}.2`;
+    this.prefix = network.prefix;
+    this.ports = network.ports;
+    this.storeHost = storeAddress(this.prefix);
     this.store = new Store(record);
     this.hosts = hosts.map((options, index) =>
       new Host(this, { index, ...options })
@@ -240,8 +283,7 @@
 
   /** Starts everything and waits until all nodes are ready. */
   async start(configuration) {
-    await this.#checkPorts();
-    await this.store.listen(this.storeHost, PORTS.store);
+    await this.store.listen(this.storeHost, this.ports.store);
     this.store.put("config", "main", configuration);
     for (const { worker } of this.hosts) await worker.listen();
     this.hosts.forEach((host) => host.start());
@@ -258,19 +300,6 @@
     await sleep(4_000);
   }
 
-  // The addresses are drawn; a port that another program holds ends the case.
-  async #checkPorts() {
-    for (const { ip } of this.hosts) {
-      for (const port of Object.values(PORTS)) {
-        await new Promise((resolve, reject) => {
-          const server = createServer();
-          server.once("error", reject);
-          server.listen(port, ip, () => server.close(resolve));
-        });
-      }
-    }
-  }
-
   async close() {
     this.hosts.forEach(({ child, worker }) => {
       worker.close();
@@ -324,15 +353,24 @@
   let code = 2;
   const cutOff = setTimeout(() => {
     record.show("The case takes too long");
-    fleets.forEach(({ hosts }) =>
-      hosts.forEach(({ child }) => child?.kill("SIGKILL"))
-    );
     record.save();
     process.exit(2);
   }, 115_000);
+  // No process outlives the case, whatever ends it.
+  process.on(
+    "exit",
+    () =>
+      fleets.forEach(({ hosts }) =>
+        hosts.forEach(({ child }) => child?.kill("SIGKILL"))
+      ),
+  );
+  ["SIGINT", "SIGTERM"].forEach((name) =>
+    process.on(name, () => process.exit(2))
+  );
   try {
-    const makeFleet = (hosts) => {
-      const fleet = new Fleet({ record, hosts });
+    const makeFleet = async (hosts) => {
+      const network = await freeNetwork(hosts.length);
+      const fleet = new Fleet({ record, hosts, network });
       fleets.push(fleet);
       return fleet;
     };
