review: shorten the time for which leaving workers go on

Change: 6 s after the acknowledgement in review/1 (was 8), 10 s in review/2 (was 13); the claims state what was seen with these.

--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -16,7 +16,7 @@
 const ODD_BEFORE_MS = 3_000;
 
 /** Time from the acknowledgement to the worker's DELETE, in milliseconds. */
-const SERVES_ON_MS = 8_000;
+const SERVES_ON_MS = 6_000;
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
--- a/review/2/play.mjs
+++ b/review/2/play.mjs
@@ -20,7 +20,7 @@
 const RESTART_MS = 300;
 
 /** Time from the acknowledgement to the end of the worker, in milliseconds. */
-const SERVES_ON_MS = 13_000;
+const SERVES_ON_MS = 10_000;
 
 /** Time between two requests of the clients on one host, in milliseconds. */
 const REQUEST_INTERVAL_MS = 60;
