--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -128,7 +128,9 @@
   }
 
   async #serve(request, response) {
-    const { service, workMs } = this.#options;
+    const { service } = this.#options;
+    const { workMs: drawMs } = this.#options;
+    const workMs = typeof drawMs === "function" ? drawMs() : drawMs;
     const requestId = request.headers[ID];
     let bytes = 0;
     try {
