--- a/review/2/play.mjs
+++ b/review/2/play.mjs
@@ -72,6 +72,7 @@
 
     const leaving = hosts[0].worker;
     const begin = record.now;
+    let storeUpAt = -BOUNDS.stabilityWindowMs;
     const until = (ms) => sleep(Math.max(0, begin + ms - record.now));
     if (isTroubled) store.setMode("silent");
     await until(LEAVES_AT_MS);
@@ -81,6 +82,7 @@
       await killAll(hosts);
       await until(OUTAGE_MS);
       store.setMode("up");
+      storeUpAt = record.now;
     }
     const { acknowledgedAt } = leaving;
     await sleep(acknowledgedAt + SERVES_ON_MS - record.now);
@@ -91,9 +93,7 @@
     clients.forEach((client) => client.close());
 
     // Only requests at machines that are in touch again are judged.
-    const inTouchFrom = isTroubled
-      ? begin + OUTAGE_MS + BOUNDS.stabilityWindowMs
-      : 0;
+    const inTouchFrom = storeUpAt + BOUNDS.stabilityWindowMs;
     const bound = Math.max(acknowledgedAt + BOUNDS.drainMs, inTouchFrom);
     const sent = new Map(
       outcomes.map((outcome) => [outcome.requestId, outcome]),
