Replace the built program of the platform at once

Two test files build it, and a process that starts while the file is written would read a part of it.

--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -1,5 +1,7 @@
 // Bundles the program for the platform's hosts with all libraries into one file,
 // so that it starts without resolving modules.
+import { mkdir, rename, writeFile } from "node:fs/promises";
+import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { build } from "esbuild";
 
@@ -37,7 +39,15 @@
   };
 }
 
-await build({
+/** Replaces a file at once, so that a process that starts meanwhile reads all. */
+async function replaceFile({ path, contents }) {
+  const unfinished = `${path}.${process.pid}`;
+  await mkdir(dirname(path), { recursive: true });
+  await writeFile(unfinished, contents);
+  await rename(unfinished, path);
+}
+
+const { outputFiles } = await build({
   entryPoints: {
     oleanderdeck_sidecar: "platform/oleanderdeck_sidecar_main.ts",
   },
@@ -60,5 +70,7 @@
     replaceIndex("hdr-histogram-js", HISTOGRAM_BUILDER),
   ],
   sourcemap: "linked",
+  write: false,
   logLevel: "warning",
 });
+await Promise.all(outputFiles.map(replaceFile));
