End a planned stop once, whatever signals come while it is under way

Callers saw requests that had been accepted end without an answer, and answers 502 at other hosts for requests that ran, when a host got SIGTERM a second time in a stop, or SIGINT. Cause: a call of SidecarNode.stop during a stop resolved at once, and the handler of SIGTERM ended the process when its own call had resolved; SIGINT had no handler. Class: an operation that is under way is entered again, and its second caller is told that it is done.

The stop is now one promise that all callers share (NodeStop), and PlannedStop handles both signals: the first begins the stop, each further one is counted and logged. The log tells each signal, what was under way at it, and what was answered, refused, failed and given up at the end.

--- a/packages/calling/_answer_writer.ts
+++ b/packages/calling/_answer_writer.ts
@@ -16,6 +16,19 @@
   readonly retryAfterMs?: number;
 }
 
+/** Number of answers by what they told the caller. */
+export interface AnswerCounts {
+  /** Answers of workers. */
+  readonly answered: number;
+  /** Refusals, which promise that the request has not run and will not. */
+  readonly refused: number;
+  /** Other errors of the node, which promise nothing. */
+  readonly failed: number;
+}
+
+/** Statuses which promise that the request has not run and will not. */
+const PROMISE_STATUSES: readonly number[] = [408, 421, 429, 503];
+
 /** Options of {@linkcode AnswerWriter}. */
 export interface AnswerWriterOptions {
   /** Name of the header field with the identity of a request. */
@@ -27,6 +40,9 @@
 export class AnswerWriter {
   readonly #options: AnswerWriterOptions;
   #isClosing = false;
+  #answered = 0;
+  #refused = 0;
+  #failed = 0;
 
   /** @param options Header name and receiver of events. */
   constructor(options: AnswerWriterOptions) {
@@ -41,6 +57,15 @@
     this.#isClosing = true;
   }
 
+  /** Number of answers since the start. */
+  get counts(): AnswerCounts {
+    return {
+      answered: this.#answered,
+      refused: this.#refused,
+      failed: this.#failed,
+    };
+  }
+
   /** Forwards the answer of a worker. */
   pass(
     exchange: Exchange,
@@ -70,6 +95,7 @@
       const error = "answer_cut";
       return this.refuse(exchange, error, { requestId, service, worker });
     }
+    this.#answered++;
     if (body.length <= MAX_JOINED_BYTES) {
       // Node.js writes a string, but not a buffer, together with the header
       // lines.
@@ -97,6 +123,8 @@
       elapsedMs: Math.round(performance.now() - arrivedAt),
     });
     if (response.destroyed || response.headersSent) return;
+    if (PROMISE_STATUSES.includes(status)) this.#refused++;
+    else this.#failed++;
     const text = `${defaults.text}\n`;
     response.writeHead(status, [
       "Content-Type",
--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -12,7 +12,11 @@
   rankOfRoot,
   type WorkerCall,
 } from "@oleanderdeck/serving";
-import { AnswerWriter, malformedAnswer } from "./_answer_writer.ts";
+import {
+  type AnswerCounts,
+  AnswerWriter,
+  malformedAnswer,
+} from "./_answer_writer.ts";
 import { CallerConnection, type Exchange } from "./_caller_connection.ts";
 import { RequestBodies } from "./_request_bodies.ts";
 import { RequestHeaderReader, timeLimitMs } from "./_request_header.ts";
@@ -135,6 +139,11 @@
     return this.#unfinishedRequests;
   }
 
+  /** Number of answers since the start, by what they told the caller. */
+  get outcomes(): AnswerCounts {
+    return this.#answerWriter.counts;
+  }
+
   /** Time since the last request that began a chain, in milliseconds. */
   get sinceRootRequestMs(): number {
     return performance.now() - this.#lastRequestAt;
--- a/packages/calling/mod.ts
+++ b/packages/calling/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+export type { AnswerCounts } from "./_answer_writer.ts";
 export * from "./call_task.ts";
 export * from "./caller_proxy.ts";
 export * from "./caller_proxy_observer.ts";
--- /dev/null
+++ b/packages/lifecycle/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * The planned end of a program: work in progress is finished once, however often
+ * and by whichever signals the stop is asked for.
+ *
+ * @module
+ */
+
+export * from "./planned_stop.ts";
--- a/packages/sidecar/mod.ts
+++ b/packages/sidecar/mod.ts
@@ -12,6 +12,7 @@
 export * from "./fleet_repeat_limit.ts";
 export * from "./peer_state_sync.ts";
 export * from "./load_reporter.ts";
+export * from "./node_stop.ts";
 export * from "./peer_server.ts";
 export * from "./record_sync.ts";
 export * from "./repeat_counts.ts";
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -13,12 +13,11 @@
   type WorkerHeartbeat,
 } from "@oleanderdeck/serving";
 import { addNodeGauges } from "./_node_gauges.ts";
-import { sleep } from "./_sleep.ts";
-import { stopTimes } from "./_stop_times.ts";
 import { FleetRepeatLimit } from "./fleet_repeat_limit.ts";
 import { type FrameSink, PeerStateSync } from "./peer_state_sync.ts";
 import { LocalWorker } from "./local_worker.ts";
 import { LoadReporter } from "./load_reporter.ts";
+import { NodeStop, type WorkUnderWay } from "./node_stop.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { RequestObserver } from "./request_observer.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
@@ -50,15 +49,6 @@
 /** Share of the process's memory that request bodies may use. */
 const REQUEST_BODY_MEMORY_SHARE = 0.3;
 
-/**
- * Time without new root requests, which begin a chain of calls, after which the
- * callers on this host count as gone, in milliseconds.
- */
-const CALLERS_IDLE_MS = 600;
-
-/** Interval at which a stop polls the work in progress, in milliseconds. */
-const STOP_POLL_MS = 25;
-
 /** Options of {@linkcode SidecarNode}. */
 export interface SidecarNodeOptions {
   readonly settings: SidecarSettings;
@@ -96,10 +86,10 @@
   readonly #channels: WorkerChannels;
   readonly #peerStateSync: PeerStateSync;
   readonly #reporter: LoadReporter;
+  readonly #stop: NodeStop;
   #settings: SidecarSettings;
   #checkTimer: NodeJS.Timeout | undefined;
   #reportTimer: NodeJS.Timeout | undefined;
-  #isStopping = false;
   /** Number of checks since the start. */
   #checks = 0;
 
@@ -192,6 +182,15 @@
       onOwnDeparture: (departure) =>
         this.#worker.tracker.learnDeparture(departure),
     });
+    this.#stop = new NodeStop({
+      settings: () => this.#settings,
+      callerProxy: this.#callerProxy,
+      worker: this.#worker,
+      gate: this.#gate,
+      peerServer: this.#peerServer,
+      log,
+      close: () => this.#close(),
+    });
     if (options.metrics !== undefined) {
       addNodeGauges(options.metrics, {
         reporter: this.#reporter,
@@ -218,7 +217,7 @@
    * not stopping.
    */
   get isReady(): boolean {
-    return !this.#isStopping && this.#configuration.version > 0;
+    return !this.#stop.hasBegun && this.#configuration.version > 0;
   }
 
   /** Version of the current configuration; 0 if there is none. */
@@ -263,31 +262,21 @@
     this.#settings = settings;
   }
 
+  /** Work that the node has accepted and not finished. */
+  get workUnderWay(): WorkUnderWay {
+    return this.#stop.workUnderWay;
+  }
+
   /**
    * Stops the node: finishes the work in progress within the grace period of the
-   * settings and closes all connections. Resolves when they are closed; a call
-   * during a stop resolves at once.
+   * settings and closes all connections. Resolves when they are closed, also if
+   * the stop was already under way.
    */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
-    this.#isStopping = true;
-    const { graceMs, node } = this.#settings;
-    this.#options.log.write("info", "node_stopping", { node });
-    const times = stopTimes(graceMs);
-    this.#callerProxy.startStop(times);
-    this.#worker.withdrawUnused();
-    // The worker accepts calls until the callers on this host have left.
-    while (
-      this.#callerProxy.sinceRootRequestMs < CALLERS_IDLE_MS &&
-      performance.now() < times.callersLeaveAt
-    ) {
-      await sleep(STOP_POLL_MS);
-    }
-    this.#gate.close();
-    this.#peerServer.sendChangedLoad();
-    while (performance.now() < times.closesAt && !this.#isIdle()) {
-      await sleep(STOP_POLL_MS);
-    }
+  stop(): Promise<void> {
+    return this.#stop.run();
+  }
+
+  #close(): void {
     clearInterval(this.#checkTimer);
     clearInterval(this.#reportTimer);
     this.#storeSync.close();
@@ -295,18 +284,12 @@
     this.#peerServer.close();
     this.#channels.close();
     this.#connections.close();
-    this.#options.log.write("info", "node_stopped", { node });
   }
 
   get #isStoreUnavailable(): boolean {
     return this.#storeSync.availability.isUnavailable;
   }
 
-  #isIdle(): boolean {
-    return this.#callerProxy.unfinishedRequests === 0 &&
-      this.#gate.unfinished === 0;
-  }
-
   #hello(): HelloFrame {
     const { node, service } = this.#options.settings;
     return {
--- a/packages/sidecar/stop_under_load_test.ts
+++ b/packages/sidecar/stop_under_load_test.ts
@@ -80,6 +80,24 @@
   expectTrueOutcomes(await sending);
 });
 
+// Guards against a caller of a second stop that takes the first one for done and
+// ends the process (incident LOST).
+test("a stop that is asked for again ends when the work has ended", async () => {
+  servers.forEach(({ worker }) => worker.holdMs = 900);
+  const inFlight = fleet.call(caller, "/members/1", { id: "kept", body: "x" });
+  await expect.poll(runs).toContain("kept");
+  const first = caller.node.stop();
+  let isAnswered = false;
+  const answered = inFlight.then(({ status }) => {
+    isAnswered = true;
+    return status;
+  });
+  await caller.node.stop();
+  expect(isAnswered).toBe(true);
+  expect(await answered).toBe(200);
+  await first;
+});
+
 test("a worker that leaves under load and its node's stop cut off no request", async () => {
   let isOver = false;
   const sending = sendUntil(() => isOver);
