End links in order at the end of a stop

Callers saw 502 for requests that had run, or that had not run at all, when the node beside the worker stopped: their nodes lost the link with the call open.

Cause: `PeerServer.close` destroyed each link with the frames that the peer had not taken yet, right after the last call was finished. And a node without calls closed its gate and its links in one turn, so that the load report without slots was dropped and a call on its way met a closed connection; its caller's node has to assume that it ran.

Change: `Link.end` sends a ping and handles what arrives before its pong, so that calls sent before the peer knew of the stop are refused as not run. Then it writes what waits, half-closes, drops what still comes and is destroyed when the peer has closed. Links with unwritten bytes get the rest of the time of the stop, the others 250 ms, all at most 150 ms of the reserve of 250 ms. A link whose peer has ended it closes at once, so that no call is written to it.

--- a/packages/hop/link.ts
+++ b/packages/hop/link.ts
@@ -1,6 +1,7 @@
 import { connect, type Socket } from "node:net";
 import { FrameDecoder, FrameEncoder } from "./frame_codec.ts";
 import type { Frame } from "./frame.ts";
+import { destroyWhenEnded, type EndTimes } from "./socket_end.ts";
 
 /** Time without received bytes after which a ping is sent, in milliseconds. */
 const PING_IDLE_AFTER_MS = 1_000;
@@ -94,6 +95,12 @@
   #lastReceived = performance.now();
   #lastChecked = performance.now();
   #pingedAt: number | undefined;
+  /** Pings that the peer has not answered. */
+  #unansweredPings = 0;
+  /** Whether the link closes as soon as the peer has answered all pings. */
+  #isEnding = false;
+  /** Whether this side has sent its last byte. */
+  #hasEnded = false;
   #isClosed = false;
 
   /**
@@ -106,6 +113,7 @@
     socket.setNoDelay(true);
     onBytes((bytes) => this.#receive(bytes));
     socket.on("error", (error) => this.close(error.message));
+    socket.on("end", () => this.close("closed by the peer"));
     socket.on("close", () => this.close("closed by the peer"));
   }
 
@@ -124,11 +132,11 @@
   }
 
   /**
-   * Sends a frame; does nothing on a closed link. Frames sent in one turn of the
-   * event loop are written with one system call.
+   * Sends a frame; does nothing on a closed or ended link. Frames sent in one turn
+   * of the event loop are written with one system call.
    */
   send(frame: Frame): void {
-    if (this.#isClosed) return;
+    if (this.#isClosed || this.#hasEnded) return;
     if (this.#unwritten.length === 0) setImmediate(() => this.#flush());
     this.#unwritten.push(...this.#encoder.encode(frame));
   }
@@ -145,6 +153,23 @@
     this.#handlers.onClose(reason);
   }
 
+  /**
+   * Ends the link in order: handles what the peer has sent until it answers a
+   * ping, writes the frames that wait, and closes when the peer has done so. The
+   * owner has told the peer before to send no more calls.
+   *
+   * @param times Times after which the link is closed in any case.
+   * @returns Resolves when the link is closed.
+   */
+  end(times: EndTimes): Promise<void> {
+    if (!this.#isClosed && !this.#isEnding) {
+      this.#isEnding = true;
+      this.#ping();
+      this.#flush();
+    }
+    return destroyWhenEnded(this.#socket, times);
+  }
+
   /**
    * Pings a peer that has sent nothing for some time, and closes the link if the
    * peer remains silent. The owner calls this method several times per second,
@@ -163,14 +188,27 @@
       this.close("no bytes from the peer");
     } else if (silentMs > pingAfter && this.#pingedAt === undefined) {
       this.#pingedAt = now;
-      this.send({ kind: "ping" });
+      this.#ping();
     }
   }
 
+  #ping(): void {
+    this.#unansweredPings++;
+    this.send({ kind: "ping" });
+  }
+
+  #receivePong(): void {
+    this.#unansweredPings--;
+    if (!this.#isEnding || this.#unansweredPings > 0) return;
+    this.#flush();
+    this.#hasEnded = true;
+    this.#socket.end();
+  }
+
   #flush(): void {
     const chunks = this.#unwritten;
     this.#unwritten = [];
-    if (this.#isClosed) return;
+    if (this.#isClosed || chunks.length === 0) return;
     const bytes = chunks.reduce((sum, { length }) => sum + length, 0);
     if (chunks.length > 1 && bytes <= MAX_JOINED_BYTES) {
       this.#socket.write(Buffer.concat(chunks, bytes));
@@ -193,8 +231,9 @@
   }
 
   #handle(frame: Frame): void {
-    if (this.#isClosed) return;
+    if (this.#isClosed || this.#hasEnded) return;
     if (frame.kind === "ping") this.send({ kind: "pong" });
-    else if (frame.kind !== "pong") this.#handlers.onFrame(frame);
+    else if (frame.kind === "pong") this.#receivePong();
+    else this.#handlers.onFrame(frame);
   }
 }
--- a/packages/hop/mod.ts
+++ b/packages/hop/mod.ts
@@ -10,3 +10,4 @@
 export * from "./frame_codec.ts";
 export * from "./link.ts";
 export * from "./listen.ts";
+export * from "./socket_end.ts";
--- /dev/null
+++ b/packages/hop/socket_end.ts
@@ -0,0 +1,45 @@
+import type { Socket } from "node:net";
+
+/** Times of the end of a connection. */
+export interface EndTimes {
+  /**
+   * Time that the other side gets to close the connection after all bytes were
+   * written, in milliseconds.
+   */
+  readonly closeMs: number;
+  /**
+   * Time by which the connection is destroyed in any case, as of
+   * `performance.now()`.
+   */
+  readonly latestAt: number;
+}
+
+/**
+ * Destroys a connection that was told to end, once its bytes were written and
+ * the other side has closed it or had the time to do so. To destroy it at once
+ * would lose what the other side has not read yet, if it sends anything.
+ *
+ * @param socket Connection whose incoming bytes are read by its owner.
+ * @param times Times of the end.
+ * @returns Resolves when the connection is closed.
+ */
+export function destroyWhenEnded(
+  socket: Socket,
+  { closeMs, latestAt }: EndTimes,
+): Promise<void> {
+  return new Promise((resolve) => {
+    if (socket.closed) return resolve();
+    let timer: NodeJS.Timeout | undefined;
+    const check = (wasWriting: boolean) => {
+      const leftMs = latestAt - performance.now();
+      if (!wasWriting || leftMs <= 0) return void socket.destroy();
+      const isWriting = socket.writableLength > 0;
+      timer = setTimeout(() => check(isWriting), Math.min(closeMs, leftMs));
+    };
+    socket.once("close", () => {
+      clearTimeout(timer);
+      resolve();
+    });
+    check(true);
+  });
+}
--- a/packages/sidecar/_stop_times.ts
+++ b/packages/sidecar/_stop_times.ts
@@ -1,4 +1,5 @@
 import type { StopTimes } from "@oleanderdeck/calling";
+import type { EndTimes } from "@oleanderdeck/hop";
 
 /**
  * Time within which callers notice a stop; after it the node stops waiting for
@@ -15,6 +16,18 @@
 /** Time at the end of a stop that is reserved for closing, in milliseconds. */
 const CLOSE_RESERVE_MS = 250;
 
+/**
+ * Time that callers and peers get to close a connection after its last bytes were
+ * written, in milliseconds. It allows for one retransmission of a lost packet.
+ */
+const CLOSE_MS = 250;
+
+/**
+ * Part of the reserve after which all connections are closed, in milliseconds. The
+ * rest is for the end of the process.
+ */
+const CLOSE_WITHIN_RESERVE_MS = 150;
+
 /**
  * Returns the times of a stop that begins now.
  *
@@ -29,3 +42,8 @@
     closesAt: now + graceMs - CLOSE_RESERVE_MS,
   };
 }
+
+/** Returns the times in which the connections end at the end of a stop. */
+export function endTimes({ closesAt }: StopTimes): EndTimes {
+  return { closeMs: CLOSE_MS, latestAt: closesAt + CLOSE_WITHIN_RESERVE_MS };
+}
--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -60,6 +60,8 @@
     return true;
   };
   status = 200;
+  /** Text behind each answer. */
+  padding = "";
   /** Limit that the answers name; none if undefined. */
   requestsPerSecond: string | undefined;
   /** Whether the answers say that the worker is leaving. */
@@ -87,7 +89,7 @@
         }),
         ...(this.isLeaving && { [TEST_NAMES.leaving]: "1" }),
       });
-      response.end(`answer to ${requestId}`);
+      response.end(`answer to ${requestId}${this.padding}`);
     });
   }
 
--- a/packages/sidecar/peer_server.ts
+++ b/packages/sidecar/peer_server.ts
@@ -2,6 +2,7 @@
 import {
   acceptedLinkSocket,
   type CallFrame,
+  type EndTimes,
   type Frame,
   type HelloFrame,
   Link,
@@ -91,10 +92,16 @@
     this.#links.forEach(({ link }) => link.check(false));
   }
 
-  /** Closes the listener and all links, which cancels their calls. */
-  close(): void {
+  /**
+   * Closes the listener and ends all links, which cancels their calls; see
+   * {@linkcode Link.end}.
+   *
+   * @param times Times after which the links are closed in any case.
+   * @returns Resolves when all links are closed.
+   */
+  async end(times: EndTimes): Promise<void> {
     this.#server.close();
-    [...this.#links].forEach(({ link }) => link.close());
+    await Promise.all([...this.#links].map(({ link }) => link.end(times)));
   }
 
   #accept(socket: Socket): void {
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -14,7 +14,7 @@
 } from "@oleanderdeck/serving";
 import { addNodeGauges } from "./_node_gauges.ts";
 import { sleep } from "./_sleep.ts";
-import { stopTimes } from "./_stop_times.ts";
+import { endTimes, stopTimes } from "./_stop_times.ts";
 import { FleetRepeatLimit } from "./fleet_repeat_limit.ts";
 import { type FrameSink, PeerStateSync } from "./peer_state_sync.ts";
 import { LocalWorker } from "./local_worker.ts";
@@ -292,7 +292,7 @@
     clearInterval(this.#reportTimer);
     this.#storeSync.close();
     this.#callerProxy.close();
-    this.#peerServer.close();
+    await this.#peerServer.end(endTimes(times));
     this.#channels.close();
     this.#connections.close();
     this.#options.log.write("info", "node_stopped", { node });
