--- /dev/null
+++ b/packages/sidecar/_link_proxy.ts
@@ -0,0 +1,115 @@
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type {
+  RecordChanges,
+  RecordListing,
+  WorkerRecord,
+} from "@oleanderdeck/directory";
+import { type TestStore, TestStoreClient } from "./_test_store.ts";
+
+/**
+ * Relay in front of a node's address for links. A test may delay all bytes and
+ * ends, or stop all bytes of the open connections without closing them.
+ */
+export class LinkProxy {
+  /** Time that bytes and ends of a connection take, in milliseconds. */
+  delayMs = 0;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  readonly #silent = new WeakSet<Socket>();
+
+  /**
+   * @param host Address on which both sides listen.
+   * @param port Port of the node.
+   */
+  constructor(host: string, port: number) {
+    this.#server = createServer({ allowHalfOpen: true }, (socket) => {
+      const target = connect({ port, host, allowHalfOpen: true });
+      this.#relay(socket, target);
+      this.#relay(target, socket);
+    });
+  }
+
+  /** Starts to listen; resolves to the port. */
+  listen(host: string): Promise<number> {
+    return new Promise((resolve) =>
+      this.#server.listen(0, host, () => {
+        const address = this.#server.address();
+        resolve(typeof address === "object" ? address?.port ?? 0 : 0);
+      })
+    );
+  }
+
+  /** Relays nothing more on the connections that are open; new ones work. */
+  silence(): void {
+    this.#sockets.forEach((socket) => this.#silent.add(socket));
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#sockets.forEach((socket) => socket.destroy());
+  }
+
+  #relay(from: Socket, to: Socket): void {
+    this.#sockets.add(from);
+    const relay = (action: () => void) => {
+      if (this.#silent.has(from)) return;
+      if (this.delayMs === 0) return action();
+      setTimeout(action, this.delayMs);
+    };
+    from.setNoDelay(true);
+    from.on("data", (bytes) => relay(() => to.writable && to.write(bytes)));
+    from.on("end", () => relay(() => to.end()));
+    from.on("error", () => from.destroy());
+    from.on("close", () => {
+      this.#sockets.delete(from);
+      relay(() => to.destroy());
+    });
+  }
+}
+
+/** Client of the store that names the proxies in place of the nodes. */
+export class ProxiedStoreClient extends TestStoreClient {
+  readonly #addresses: ReadonlyMap<string, string>;
+
+  constructor(
+    store: TestStore,
+    node: string,
+    addresses: ReadonlyMap<string, string>,
+  ) {
+    super(store, node);
+    this.#addresses = addresses;
+  }
+
+  override async listRecords(): Promise<RecordListing> {
+    const listing = await super.listRecords();
+    return {
+      ...listing,
+      records: listing.records.map(({ record, revision }) => ({
+        record: this.#proxied(record),
+        revision,
+      })),
+    };
+  }
+
+  override async watchRecords(
+    revision: number,
+    waitMs: number,
+  ): Promise<RecordChanges> {
+    const changes = await super.watchRecords(revision, waitMs);
+    if (changes.isHistoryGone) return changes;
+    return {
+      ...changes,
+      changes: changes.changes.map((change) => ({
+        ...change,
+        record: change.record && this.#proxied(change.record),
+      })),
+    };
+  }
+
+  #proxied(record: WorkerRecord): WorkerRecord {
+    return {
+      ...record,
+      address: this.#addresses.get(record.node) ?? record.address,
+    };
+  }
+}
--- a/packages/sidecar/silent_links_test.ts
+++ b/packages/sidecar/silent_links_test.ts
@@ -1,13 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import type {
-  RecordChanges,
-  RecordListing,
-  WorkerRecord,
-} from "@oleanderdeck/directory";
-import { SilentProxy } from "./_silent_proxy.ts";
+import { LinkProxy, ProxiedStoreClient } from "./_link_proxy.ts";
 import { START_TIMEOUT_MS, TestFleet, type TestHost } from "./_test_fleet.ts";
-import { type TestStore, TestStoreClient } from "./_test_store.ts";
 
 /** Time after the last disturbance for which nodes may lag, in milliseconds. */
 const STABILITY_WINDOW_MS = 3_000;
@@ -24,55 +18,8 @@
 /** Calls at the moment when the links go silent. */
 const CALLS = 30;
 
-/** Client of the store that names the proxies in place of the nodes. */
-class ProxiedStoreClient extends TestStoreClient {
-  readonly #addresses: ReadonlyMap<string, string>;
-
-  constructor(
-    store: TestStore,
-    node: string,
-    addresses: ReadonlyMap<string, string>,
-  ) {
-    super(store, node);
-    this.#addresses = addresses;
-  }
-
-  override async listRecords(): Promise<RecordListing> {
-    const listing = await super.listRecords();
-    return {
-      ...listing,
-      records: listing.records.map(({ record, revision }) => ({
-        record: this.#proxied(record),
-        revision,
-      })),
-    };
-  }
-
-  override async watchRecords(
-    revision: number,
-    waitMs: number,
-  ): Promise<RecordChanges> {
-    const changes = await super.watchRecords(revision, waitMs);
-    if (changes.isHistoryGone) return changes;
-    return {
-      ...changes,
-      changes: changes.changes.map((change) => ({
-        ...change,
-        record: change.record && this.#proxied(change.record),
-      })),
-    };
-  }
-
-  #proxied(record: WorkerRecord): WorkerRecord {
-    return {
-      ...record,
-      address: this.#addresses.get(record.node) ?? record.address,
-    };
-  }
-}
-
 let fleet: TestFleet;
-let proxies: SilentProxy[];
+let proxies: LinkProxy[];
 let caller: TestHost;
 let workers: readonly TestHost[];
 let heartbeats: NodeJS.Timeout;
@@ -90,7 +37,7 @@
   fleet.configure(1, [members, booking]);
   const add = async (name: string, service: string) => {
     const host = await fleet.add(name, service, { slots: 40 });
-    const proxy = new SilentProxy(host.address, host.linkPort);
+    const proxy = new LinkProxy(host.address, host.linkPort);
     const port = await proxy.listen(host.address);
     addresses.set(name, `${host.address}:${port}`);
     proxies.push(proxy);
