End a load run with its report, whatever signals come

Cause: SIGTERM had no handler and a second SIGINT the default one, so a load run ended without its report; the file of an earlier report is emptied at the start. Change: both signals end the run early, however often they come. Evidence: load_signal_test with the built program; before, the process ended by SIGTERM and the report was empty.

--- a/packages/command_line/oleanderdeck_main.ts
+++ b/packages/command_line/oleanderdeck_main.ts
@@ -11,7 +11,10 @@
 
 function createInterruptSignal(): AbortSignal {
   const controller = new AbortController();
-  process.once("SIGINT", () => controller.abort());
+  // A signal that comes again must not end the process before the report.
+  ["SIGINT", "SIGTERM"].forEach((signal) =>
+    process.on(signal, () => controller.abort())
+  );
   return controller.signal;
 }
 
