Stop the daemon, the stand-ins and the demonstration once

Cause, as in the node that hosts run: handlers by `process.once` leave a second signal to the default action, which ends the process with its calls in progress; SIGHUP had no handler. `Node.close`, `BackendStandIn.drainAndClose` and `ProcessGroup`'s stop could be entered again, the last one sent another SIGTERM. A demonstration that got SIGHUP left its processes running.

Change: PlannedStop in the daemon (from before its start on) and in the stand-ins, a line for SIGHUP where there are no settings to reload, one shared promise per stop, and an exit of the demonstration at SIGHUP, which ends its processes.

--- a/packages/daemon/node.ts
+++ b/packages/daemon/node.ts
@@ -75,6 +75,7 @@
   readonly #seedPublisher: SeedPublisher;
   readonly #callServer: CallServer;
   readonly #gauges: NodeGauges;
+  #closed: Promise<void> | undefined;
 
   /** @param settings Validated settings. */
   constructor(settings: NodeSettings) {
@@ -243,9 +244,13 @@
    * Shuts down gracefully: grants no new leases of the worker, refuses root calls
    * as `draining`, waits up to `timeouts.stopMs` each for the worker's requests
    * and for calls in flight to complete, and announces to the fleet that this
-   * node leaves.
+   * node leaves. Joins the shutdown that is under way, if any.
    */
-  async close(): Promise<void> {
+  close(): Promise<void> {
+    return this.#closed ??= this.#close();
+  }
+
+  async #close(): Promise<void> {
     this.#log.write("info", "node_stopping", { node: this.#settings.nodeId });
     this.#localWorker.drainForStop();
     this.#callServer.drainRootCalls();
@@ -265,6 +270,11 @@
     this.#log.write("info", "node_stopped", { node: this.#settings.nodeId });
   }
 
+  /** Number of calls without a complete answer. */
+  get callsInFlight(): number {
+    return this.#callServer.inFlight;
+  }
+
   /** Returns the highest version among the documents that the node holds. */
   configurationVersion(): number {
     return this.#replica.highestVersion();
--- a/packages/daemon/node_test.ts
+++ b/packages/daemon/node_test.ts
@@ -120,6 +120,15 @@
     .toBeGreaterThan(0);
 }, 20_000);
 
+// Guards against a second close that ends before the first one, and closes parts
+// which still serve calls.
+test("a close that comes again joins the one under way", async () => {
+  const { node } = fleet.hosts[1]!;
+  const first = node.close();
+  expect(node.close()).toBe(first);
+  await first;
+}, 20_000);
+
 // Guards against requests to a worker that was drained through a node on another
 // host.
 test("a drained worker gets no new work after 3 s", async () => {
--- a/packages/daemon/oleanderdeckd_main.ts
+++ b/packages/daemon/oleanderdeckd_main.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from "node:fs";
 import { cac } from "cac";
+import { ignoreHangup, PlannedStop } from "@oleanderdeck/lifecycle";
 import { EventLog } from "@oleanderdeck/observability";
 import {
   type NodeSettings,
@@ -67,15 +68,19 @@
     process.exit(EXIT_CODES.failed);
   });
   const node = new Node(settings);
+  const started = node.start();
+  new PlannedStop({
+    log,
+    stop: () => started.then(() => node.close()),
+    workUnderWay: () => ({ calls: node.callsInFlight }),
+  }).listen();
+  ignoreHangup(log);
   try {
-    await node.start();
+    await started;
   } catch (error) {
     fail(EXIT_CODES.failed, [`The node cannot start: ${describe(error)}`]);
     process.exit();
   }
-  const stop = () => void node.close().then(() => process.exit(0));
-  process.once("SIGTERM", stop);
-  process.once("SIGINT", stop);
 }
 
 try {
--- a/packages/demo/demo_main.ts
+++ b/packages/demo/demo_main.ts
@@ -51,6 +51,8 @@
   names: readonly string[],
   options: { readonly reports?: string },
 ): Promise<void> {
+  // An exit ends the processes of the deployment, a signal by itself does not.
+  process.once("SIGHUP", () => process.exit(129));
   process.once("SIGINT", () => process.exit(130));
   process.once("SIGTERM", () => process.exit(143));
   const deployments = names.length > 0 ? names : ["lunchtable", "bandcraft"];
--- a/packages/demo/process_group.ts
+++ b/packages/demo/process_group.ts
@@ -19,7 +19,7 @@
   signal(name: NodeJS.Signals): void;
   /**
    * Sends SIGTERM, and SIGKILL if the process does not exit within 10 s, and waits
-   * until it has exited.
+   * until it has exited. Joins the stop that is under way, if any.
    *
    * @returns The exit code; null if a signal ended the process.
    */
@@ -35,6 +35,18 @@
   child.stderr?.on("data", keep);
 }
 
+async function stopProcess(child: ChildProcess): Promise<number | null> {
+  if (child.exitCode !== null || child.signalCode !== null) {
+    return child.exitCode;
+  }
+  const ended = once(child, "exit");
+  child.kill("SIGTERM");
+  const timer = setTimeout(() => child.kill("SIGKILL"), STOP_TIMEOUT_MS);
+  await ended;
+  clearTimeout(timer);
+  return child.exitCode;
+}
+
 /** Starts Node.js programs as child processes and stops all of them together. */
 export class ProcessGroup {
   readonly #processes: StartedProcess[] = [];
@@ -59,20 +71,13 @@
     collectOutput(child, lines);
     const isRunning = () =>
       child.exitCode === null && child.signalCode === null;
+    let stopped: Promise<number | null> | undefined;
     const started: StartedProcess = {
       name,
       output: () => lines.join("\n"),
       isRunning,
       signal: (signal) => void (isRunning() && child.kill(signal)),
-      stop: async () => {
-        if (!isRunning()) return child.exitCode;
-        const ended = once(child, "exit");
-        child.kill("SIGTERM");
-        const timer = setTimeout(() => child.kill("SIGKILL"), STOP_TIMEOUT_MS);
-        await ended;
-        clearTimeout(timer);
-        return child.exitCode;
-      },
+      stop: () => stopped ??= stopProcess(child),
     };
     this.#processes.push(started);
     return started;
--- a/packages/lifecycle/mod.ts
+++ b/packages/lifecycle/mod.ts
@@ -5,4 +5,5 @@
  * @module
  */
 
+export * from "./ignore_hangup.ts";
 export * from "./planned_stop.ts";
--- a/packages/store/platform_stand_in_main.ts
+++ b/packages/store/platform_stand_in_main.ts
@@ -1,4 +1,6 @@
 import { cac } from "cac";
+import { ignoreHangup, PlannedStop } from "@oleanderdeck/lifecycle";
+import { EventLog } from "@oleanderdeck/observability";
 import { SystemClock } from "@oleanderdeck/settings";
 import { MemoryStore } from "./memory_store.ts";
 import { startPlatformStandIn } from "./platform_stand_in.ts";
@@ -27,9 +29,9 @@
     port: Number(match[2]),
   });
   process.stdout.write(`listening origin=${server.origin}\n`);
-  const stop = () => void server.close();
-  process.once("SIGINT", stop);
-  process.once("SIGTERM", stop);
+  const log = new EventLog({ level: "info" });
+  new PlannedStop({ log, stop: () => server.close() }).listen();
+  ignoreHangup(log);
 }
 
 try {
--- a/packages/testing/backend_stand_in.ts
+++ b/packages/testing/backend_stand_in.ts
@@ -67,6 +67,7 @@
   #state: "serving" | "draining" = "serving";
   #lowestFence = "";
   #renewal: NodeJS.Timeout | undefined;
+  #drained: Promise<void> | undefined;
 
   /**
    * @param description JSON description.
@@ -120,8 +121,15 @@
     if (this.behaviour.node !== undefined) await this.#register();
   }
 
-  /** Drains, waits until no request is in flight, and closes. */
-  async drainAndClose(): Promise<void> {
+  /**
+   * Drains, waits until no request is in flight, and closes; joins the same if it
+   * is under way.
+   */
+  drainAndClose(): Promise<void> {
+    return this.#drained ??= this.#drainAndClose();
+  }
+
+  async #drainAndClose(): Promise<void> {
     await this.drain();
     if (this.behaviour.node !== undefined) await sleep(DRAIN_WAIT_MS);
     while (this.#inFlight > 0) await sleep(10);
--- a/packages/testing/backend_stand_in_main.ts
+++ b/packages/testing/backend_stand_in_main.ts
@@ -1,5 +1,7 @@
 import { readFileSync } from "node:fs";
 import { cac } from "cac";
+import { ignoreHangup, PlannedStop } from "@oleanderdeck/lifecycle";
+import { EventLog } from "@oleanderdeck/observability";
 import type { BackendDescription } from "./backend_behaviour.ts";
 import { BackendStandIn } from "./backend_stand_in.ts";
 
@@ -34,7 +36,11 @@
   process.stdout.write(
     `event=started service=${standIn.behaviour.service} address=${address}\n`,
   );
-  const stop = () => void standIn.drainAndClose().then(() => process.exit(0));
-  process.once("SIGTERM", stop);
-  process.once("SIGINT", stop);
+  const log = new EventLog({ level: "info" });
+  new PlannedStop({
+    log,
+    stop: () => standIn.drainAndClose(),
+    workUnderWay: () => ({ requests: standIn.inFlight }),
+  }).listen();
+  ignoreHangup(log);
 }
