Acknowledge a withdrawal only when it was written itself

Cause: a withdrawal of the record that came while an earlier one was being written was told of its end with that one, although the store then held no departure yet. A worker's leaving could be acknowledged for a write without it, as at a stop that withdraws an unused record. Change: the end of a write resolves the withdrawals that were asked for before it. Evidence: record_sync_test; before, both withdrawals ended with the first write.

--- a/packages/sidecar/record_sync.ts
+++ b/packages/sidecar/record_sync.ts
@@ -269,8 +269,11 @@
     const { store, directory, node } = this.#options;
     const known = directory.get(node);
     if (this.#isWithdrawing) {
+      // A withdrawal that is asked for during the write has another departure.
+      const { length } = this.#withdrawalListeners;
       if (!await this.#writeWithdrawal(known, revision)) return undefined;
-      this.#withdrawalListeners.splice(0).forEach((resolve) => resolve());
+      this.#withdrawalListeners.splice(0, length)
+        .forEach((resolve) => resolve());
       return "unchanged";
     }
     const desired = this.#desiredRecord;
