Keep a node until the store knows that its worker has left

Cause: a worker's leaving is acknowledged after at most 300 ms, also if the store has not answered. A planned stop that followed closed the node at once, so the departure was nowhere: the old record stayed, and the next process of the host took the worker for usable for 1.8 heartbeat intervals.

Change: a stop counts a departure that the store does not hold as work under way, and waits for it within its time; a stop whose time ends before says so in node_stopped.

Evidence: left_before_restart_test, the store silent for 1.5 s from the begin of a stop, the worker left before and in it. Before, the record was still there after the stop, which took 2 ms. What a store that is silent to the end of a stop costs stays as it was.

--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -14,6 +14,7 @@
   type FleetRepeatLimitSettings,
   RequestObserver,
   SidecarNode,
+  type SidecarSettings,
 } from "./mod.ts";
 
 /** Header names for tests. */
@@ -137,6 +138,22 @@
 /** Usual interval of heartbeats in the settings of the nodes, in milliseconds. */
 const HEARTBEAT_MS = 1_000;
 
+/** Time for a stop in the settings of the nodes, in milliseconds. */
+export const GRACE_MS = 3_000;
+
+/**
+ * Time for a stop of a node that is to end as if it were killed, in milliseconds.
+ * A node takes workers that started in the last second before it for heard, and
+ * those of the tests start shortly before a kill.
+ */
+const KILL_GRACE_MS = 850;
+
+/** Part of a host by which a node is started on it. */
+type NodeParts = Omit<
+  TestHost,
+  "node" | "sequence" | "startedAt" | "address" | "slots"
+>;
+
 /** Options of {@linkcode TestFleet}. */
 export interface TestFleetOptions {
   /** Limit of the repeats in the settings of all nodes. */
@@ -218,9 +235,14 @@
     await host.node.start();
   }
 
-  /** Ends a node without its planned stop taking effect in the store. */
+  /**
+   * Ends a node soon, whatever is under way, without its planned stop taking
+   * effect in the store.
+   */
   async kill(host: TestHost): Promise<void> {
     this.store.unreachableNodes.add(host.name);
+    const graceMs = KILL_GRACE_MS;
+    host.node.applySettings({ ...this.#settingsOf(host), graceMs });
     await host.node.stop();
     this.store.unreachableNodes.delete(host.name);
   }
@@ -316,12 +338,8 @@
     }));
   }
 
-  #newNode(
-    { name, service, worker, callPort, linkPort, dataCentre }: Omit<
-      TestHost,
-      "node" | "sequence" | "startedAt" | "address" | "slots"
-    >,
-  ): SidecarNode {
+  #newNode(host: NodeParts): SidecarNode {
+    const { name } = host;
     return new SidecarNode({
       headerNames: TEST_NAMES,
       store: this.#storeOf(name),
@@ -334,20 +352,26 @@
         metrics: this.metrics,
         requests: this.#requests!,
       }),
-      settings: {
-        node: name,
-        dataCentre,
-        service,
-        workerAddress: worker.address,
-        callAddress: { host: TEST_ADDRESS, port: callPort },
-        linkAddress: { host: TEST_ADDRESS, port: linkPort },
-        memoryMb: 200,
-        heartbeatMs: HEARTBEAT_MS,
-        graceMs: 3_000,
-        repeatLimit: this.#repeatLimit,
-      },
+      settings: this.#settingsOf(host),
     });
   }
+
+  #settingsOf(
+    { name, service, worker, callPort, linkPort, dataCentre }: NodeParts,
+  ): SidecarSettings {
+    return {
+      node: name,
+      dataCentre,
+      service,
+      workerAddress: worker.address,
+      callAddress: { host: TEST_ADDRESS, port: callPort },
+      linkAddress: { host: TEST_ADDRESS, port: linkPort },
+      memoryMb: 200,
+      heartbeatMs: HEARTBEAT_MS,
+      graceMs: GRACE_MS,
+      repeatLimit: this.#repeatLimit,
+    };
+  }
 }
 
 function freePort(): Promise<number> {
--- a/packages/sidecar/left_before_restart_test.ts
+++ b/packages/sidecar/left_before_restart_test.ts
@@ -1,9 +1,18 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { START_TIMEOUT_MS, TestFleet, type TestHost } from "./_test_fleet.ts";
+import {
+  GRACE_MS,
+  START_TIMEOUT_MS,
+  TestFleet,
+  type TestHost,
+} from "./_test_fleet.ts";
 
 /** Time after a restart for which a recorded worker may be used, at most. */
 const SETTLED_MS = 3_000;
 
+/** Time from the begin of a stop on for which the store is silent. */
+const STORE_SILENT_MS = 1_500;
+
 let fleet: TestFleet;
 let caller: TestHost;
 let leaving: TestHost;
@@ -56,6 +65,46 @@
   20_000,
 );
 
+// Guards against a leaving that is acknowledged while the store is silent, and
+// forgotten by a stop that ends before it is written (LOST, DRAIN).
+test.each(["before", "in"])(
+  "a worker that left %s a stop is not used after it, with a slow store",
+  async (time) => {
+    fleet.store.unreachableNodes.add(leaving.name);
+    const leave = () =>
+      leaving.node.handleDeregistration(
+        `${leaving.name}-worker`,
+        leaving.startedAt,
+      );
+    if (time === "before") await leave();
+    const stopped = leaving.node.stop();
+    if (time === "in") await leave();
+    await sleep(STORE_SILENT_MS);
+    fleet.store.unreachableNodes.delete(leaving.name);
+    await stopped;
+    expect(fleet.store.entries.get(leaving.name)).toMatchObject({
+      record: undefined,
+      departure: { workerId: `${leaving.name}-worker` },
+    });
+    await fleet.restart(leaving);
+    await expectNoneRunAfter(SETTLED_MS);
+  },
+  20_000,
+);
+
+test("a stop ends in its time if the store stays silent", async () => {
+  fleet.store.unreachableNodes.add(leaving.name);
+  await leaving.node.handleDeregistration(
+    `${leaving.name}-worker`,
+    leaving.startedAt,
+  );
+  const startedAt = performance.now();
+  await leaving.node.stop();
+  expect(performance.now() - startedAt).toBeLessThan(GRACE_MS);
+  expect(fleet.lines.find((line) => line.includes("event=node_stopped")))
+    .toContain("given_up_departure=true");
+});
+
 // Guards against a late heartbeat of a worker that has left, which new processes
 // of all nodes took for its first one (DRAIN).
 test(
--- a/packages/sidecar/local_worker.ts
+++ b/packages/sidecar/local_worker.ts
@@ -46,7 +46,10 @@
   /** Start of the process as of `performance.now()`. */
   readonly processStartedAt: number;
   /** Returns the writer of the record of this node. */
-  readonly records: () => Pick<RecordSync, "publish" | "withdraw">;
+  readonly records: () => Pick<
+    RecordSync,
+    "hasUnwrittenDeparture" | "publish" | "withdraw"
+  >;
   readonly log: EventLog;
   /** Called when another worker than before was heard. */
   readonly onReplaced: () => void;
@@ -120,6 +123,11 @@
     this.tracker.assumeReady(record.workerId, record.slots, validMs);
   }
 
+  /** Whether the worker has left and the store does not hold that yet. */
+  get hasUnstoredDeparture(): boolean {
+    return this.#options.records().hasUnwrittenDeparture;
+  }
+
   /** Removes the record of this node, unless its worker is ready. */
   withdrawUnused(): void {
     if (!this.tracker.state.isReady) void this.#withdraw();
--- a/packages/sidecar/node_stop.ts
+++ b/packages/sidecar/node_stop.ts
@@ -21,7 +21,7 @@
   /** Returns the current settings of the node. */
   readonly settings: () => SidecarSettings;
   readonly callerProxy: CallerProxy;
-  readonly worker: Pick<LocalWorker, "withdrawUnused">;
+  readonly worker: Pick<LocalWorker, "hasUnstoredDeparture" | "withdrawUnused">;
   readonly gate: Pick<WorkerGate, "close" | "unfinished">;
   readonly peerServer: Pick<PeerServer, "sendChangedLoad">;
   readonly log: Pick<EventLog, "write">;
@@ -39,8 +39,9 @@
 
 /**
  * Planned stop of a node: lets the callers leave, finishes the work in progress
- * within the grace period, and closes the node. It runs once; whoever asks for it
- * while it is under way waits for its end.
+ * within the grace period, which includes that the store learns of a worker that
+ * has left, and closes the node. It runs once; whoever asks for it while it is
+ * under way waits for its end.
  */
 export class NodeStop {
   readonly #options: NodeStopOptions;
@@ -86,23 +87,29 @@
     peerServer.sendChangedLoad();
     await waitUntil(() => this.#isIdle, times.closesAt);
     const left = this.workUnderWay;
+    const isFinished = this.#isIdle;
+    const { hasUnstoredDeparture } = worker;
     const after = callerProxy.outcomes;
     close();
     log.write("info", "node_stopped", {
       node,
-      reason: left.requests + left.calls === 0 ? "work_finished" : "time_over",
+      reason: isFinished ? "work_finished" : "time_over",
       elapsed_ms: Math.round(performance.now() - startedAt),
       answered: after.answered - before.answered,
       refused: after.refused - before.refused,
       failed: after.failed - before.failed,
       given_up_requests: left.requests,
       given_up_calls: left.calls,
+      given_up_departure: hasUnstoredDeparture,
     });
   }
 
+  // A departure that was acknowledged and not stored would be forgotten: the next
+  // process of this host would take the worker for usable by its old record.
   get #isIdle(): boolean {
     const { requests, calls } = this.workUnderWay;
-    return requests + calls === 0;
+    return requests + calls === 0 &&
+      !this.#options.worker.hasUnstoredDeparture;
   }
 }
 
--- a/packages/sidecar/record_sync.ts
+++ b/packages/sidecar/record_sync.ts
@@ -96,6 +96,18 @@
     return performance.now() - this.#recordsSyncedAt < MAX_RECORDS_AGE_MS;
   }
 
+  /**
+   * Whether a worker has left and the store, as far as this node knows, does not
+   * hold that yet.
+   */
+  get hasUnwrittenDeparture(): boolean {
+    return this.#isWithdrawing && this.#desiredDeparture !== undefined &&
+      !isSameIncarnation(
+        this.#desiredDeparture,
+        this.#storedDeparture?.departure,
+      );
+  }
+
   /** Starts to follow the records of all nodes and to write that of this one. */
   start(): void {
     void this.#followRecords();
