Let the last lines of a process reach a reader that is slow

Cause: a process wrote its collected lines and ended at once; what the pipe did not take, because its reader had paused, was lost with it, and that is the end of a stop. Change: the end of a process waits until the lines have left, at most 100 ms, and not for a reader that is gone. Lines beyond the bound of 256 KB are dropped as before.

--- a/packages/observability/non_blocking_log_stream.ts
+++ b/packages/observability/non_blocking_log_stream.ts
@@ -4,6 +4,9 @@
 /** Bytes buffered for the reader of a log, beyond which lines are dropped. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
+/** Time for which the end of a process waits for the reader, in milliseconds. */
+const SETTLE_TIMEOUT_MS = 100;
+
 /** Time for which lines are collected after the first one, in milliseconds. */
 const BATCH_MS = 250;
 
@@ -65,6 +68,26 @@
     this.#target.uncork();
   }
 
+  /**
+   * Writes the collected lines and waits until they have left the process, which
+   * then may end, but not long for a reader that is stuck, and not for one that is
+   * gone.
+   */
+  async settle(): Promise<void> {
+    this.flush();
+    const target = this.#target;
+    if (target.destroyed || target.writableLength === 0) return;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, SETTLE_TIMEOUT_MS);
+      // Called behind all lines, and at an error as well.
+      target.write("", () => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+    this.flush();
+  }
+
   #scheduleFlush(): void {
     if (this.#flushTimer !== undefined) return;
     this.#target.cork();
