--- a/packages/sidecar/record_sync.ts
+++ b/packages/sidecar/record_sync.ts
@@ -96,6 +96,18 @@
     return performance.now() - this.#recordsSyncedAt < MAX_RECORDS_AGE_MS;
   }
 
+  /**
+   * Whether a worker has left and the store, as far as this node knows, does not
+   * hold that yet.
+   */
+  get hasUnwrittenDeparture(): boolean {
+    return this.#isWithdrawing && this.#desiredDeparture !== undefined &&
+      !isSameIncarnation(
+        this.#desiredDeparture,
+        this.#storedDeparture?.departure,
+      );
+  }
+
   /** Starts to follow the records of all nodes and to write that of this one. */
   start(): void {
     void this.#followRecords();
@@ -269,8 +281,11 @@
     const { store, directory, node } = this.#options;
     const known = directory.get(node);
     if (this.#isWithdrawing) {
+      // A withdrawal that is asked for during the write has another departure.
+      const { length } = this.#withdrawalListeners;
       if (!await this.#writeWithdrawal(known, revision)) return undefined;
-      this.#withdrawalListeners.splice(0).forEach((resolve) => resolve());
+      this.#withdrawalListeners.splice(0, length)
+        .forEach((resolve) => resolve());
       return "unchanged";
     }
     const desired = this.#desiredRecord;
