--- a/packages/sidecar/node_stop.ts
+++ b/packages/sidecar/node_stop.ts
@@ -1,4 +1,4 @@
-import type { CallerProxy } from "@oleanderdeck/calling";
+import type { CallerProxy, StopTimes } from "@oleanderdeck/calling";
 import type { EventLog } from "@oleanderdeck/observability";
 import type { WorkerGate } from "@oleanderdeck/serving";
 import { sleep } from "./_sleep.ts";
@@ -26,7 +26,7 @@
   readonly peerServer: Pick<PeerServer, "sendChangedLoad">;
   readonly log: Pick<EventLog, "write">;
   /** Closes the listeners, links and connections of the node. */
-  readonly close: () => void;
+  readonly close: (times: StopTimes) => Promise<void>;
 }
 
 /** Work that a node has accepted and not finished. */
@@ -87,7 +87,7 @@
     await waitUntil(() => this.#isIdle, times.closesAt);
     const left = this.workUnderWay;
     const after = callerProxy.outcomes;
-    close();
+    await close(times);
     log.write("info", "node_stopped", {
       node,
       reason: left.requests + left.calls === 0 ? "work_finished" : "time_over",
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -1,4 +1,8 @@
-import { CallerProxy, LocalChannel } from "@oleanderdeck/calling";
+import {
+  CallerProxy,
+  LocalChannel,
+  type StopTimes,
+} from "@oleanderdeck/calling";
 import {
   ConfigurationHolder,
   type PlatformStore,
@@ -13,6 +17,7 @@
   type WorkerHeartbeat,
 } from "@oleanderdeck/serving";
 import { addNodeGauges } from "./_node_gauges.ts";
+import { endTimes } from "./_stop_times.ts";
 import { FleetRepeatLimit } from "./fleet_repeat_limit.ts";
 import { type FrameSink, PeerStateSync } from "./peer_state_sync.ts";
 import { LocalWorker } from "./local_worker.ts";
@@ -189,7 +194,7 @@
       gate: this.#gate,
       peerServer: this.#peerServer,
       log,
-      close: () => this.#close(),
+      close: (times) => this.#close(times),
     });
     if (options.metrics !== undefined) {
       addNodeGauges(options.metrics, {
@@ -276,12 +281,12 @@
     return this.#stop.run();
   }
 
-  #close(): void {
+  async #close(times: StopTimes): Promise<void> {
     clearInterval(this.#checkTimer);
     clearInterval(this.#reportTimer);
     this.#storeSync.close();
     this.#callerProxy.close();
-    this.#peerServer.close();
+    await this.#peerServer.end(endTimes(times));
     this.#channels.close();
     this.#connections.close();
   }
