Let callers read their last answer before a connection is destroyed

Callers that read slowly, or that sent anything behind their last request, got a reset and lost the rest of an answer: at the end of a stop, behind a closing answer (`Connection: close`, an early 413), and behind an answer to malformed input.

Cause: Node.js destroys the connection behind a closing answer, and a stop destroyed all connections. Bytes that arrive then, or that weren't read, reset the connection, and the kernel discards what it has not delivered yet.

Change: behind a closing answer the proxy half-closes, drops what still arrives (at most 16 MiB) and destroys the connection when the caller has closed, at the latest after a second. `CallerProxy.end` does the same for all connections at the end of a stop, in the times of the links, and cancels requests without an answer first, so that none is run whose connection has ended. The listener is closed without the method of the HTTP server, which destroys idle connections. One timer per connection that the node closes, none per call on a kept one.

--- a/packages/calling/_caller_connection.ts
+++ b/packages/calling/_caller_connection.ts
@@ -1,5 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import {
+  destroyWhenEnded,
+  dropIncoming,
+  type EndTimes,
+} from "@oleanderdeck/hop";
 
 /**
  * Maximum number of requests of one connection that are in progress at the same
@@ -8,6 +13,12 @@
  */
 const MAX_CONCURRENT_REQUESTS = 8;
 
+/**
+ * Time that a caller gets to read a closing answer and to close the connection,
+ * in milliseconds.
+ */
+const LINGER_MS = 1_000;
+
 /** HTTP request of a caller and the response to it. */
 export class Exchange {
   readonly request: IncomingMessage;
@@ -62,6 +73,8 @@
 export interface CallerConnectionOptions {
   /** Starts the work on a request. */
   readonly start: (exchange: Exchange) => void;
+  /** Called once when the connection has closed. */
+  readonly onClosed: () => void;
   /**
    * Returns the bytes of the answer to input that is not a valid request.
    *
@@ -84,6 +97,7 @@
   readonly #waiting: Exchange[] = [];
   /** Whether a closing answer was written or the caller has disconnected. */
   #isClosing = false;
+  #hasEnded = false;
   /** Answer to malformed input, written behind all other answers. */
   #lastAnswer: string | undefined;
 
@@ -95,6 +109,8 @@
     this.#socket = socket;
     this.#options = options;
     socket.once("close", () => this.#onClosed());
+    // Node.js calls this function behind a closing answer.
+    socket.destroySoon = () => this.#linger();
   }
 
   /** Starts the next request of the connection, lets it wait or drops it. */
@@ -128,6 +144,36 @@
     this.#writeLastAnswer();
   }
 
+  /**
+   * Ends the connection: cancels the requests that have no answer yet, starts no
+   * further ones, and closes when the caller has done so.
+   *
+   * @param times Times after which the connection is closed in any case.
+   * @returns Resolves when the connection is closed.
+   */
+  end(times: EndTimes): Promise<void> {
+    this.#isClosing = true;
+    this.#waiting.length = 0;
+    this.#started.filter(({ response }) => !response.writableEnded)
+      .forEach((exchange) => this.#remove(exchange));
+    return this.#end(times);
+  }
+
+  #linger(): void {
+    if (this.#hasEnded) return;
+    const latestAt = performance.now() + LINGER_MS;
+    void this.#end({ closeMs: LINGER_MS, latestAt });
+  }
+
+  #end(times: EndTimes): Promise<void> {
+    if (!this.#hasEnded) {
+      this.#hasEnded = true;
+      this.#socket.end();
+      dropIncoming(this.#socket);
+    }
+    return destroyWhenEnded(this.#socket, times);
+  }
+
   #startWaiting(): void {
     while (this.#started.length < MAX_CONCURRENT_REQUESTS) {
       const next = this.#waiting.shift();
@@ -156,12 +202,14 @@
     if (this.#lastAnswer === undefined || this.#isClosing) return;
     if (this.#started.length + this.#waiting.length > 0) return;
     this.#isClosing = true;
-    this.#socket.end(this.#lastAnswer, "latin1");
+    this.#socket.write(this.#lastAnswer, "latin1");
+    this.#linger();
   }
 
   #onClosed(): void {
     this.#isClosing = true;
     this.#waiting.length = 0;
     this.#started.splice(0).forEach((exchange) => exchange.end());
+    this.#options.onClosed();
   }
 }
--- a/packages/calling/_test_proxy.ts
+++ b/packages/calling/_test_proxy.ts
@@ -48,11 +48,14 @@
   /** Returns the delay of an answer, in milliseconds. */
   readonly delayMs?: (requestId: string) => number;
   readonly pressureOf?: () => number;
+  /** Body of each answer; that of the request if omitted. */
+  readonly answerBody?: Buffer;
 }
 
 /** Starts a proxy with one worker, and a caller of it. */
 export async function startProxy(
-  { delayMs = () => 0, pressureOf = () => 0 }: TestProxyOptions = {},
+  { answerBody, delayMs = () => 0, pressureOf = () => 0 }: TestProxyOptions =
+    {},
 ) {
   const configuration = new ConfigurationHolder();
   configuration.put({
@@ -86,7 +89,7 @@
       status: 200,
       headers: ["x-signature", "s"],
       isRefusedBelow: false,
-      body: call.body,
+      body: answerBody ?? call.body,
     };
     const delay = delayMs(call.requestId);
     if (delay < Infinity) setTimeout(() => finish(result), delay);
--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -1,11 +1,11 @@
 import { createServer, type Server } from "node:http";
-import type { Socket } from "node:net";
+import { Server as ListeningServer, type Socket } from "node:net";
 import type {
   CallerLimits,
   ConfigurationHolder,
   Route,
 } from "@oleanderdeck/directory";
-import { listen } from "@oleanderdeck/hop";
+import { type EndTimes, listen } from "@oleanderdeck/hop";
 import {
   type HeaderNames,
   rankOfNested,
@@ -96,7 +96,7 @@
   #limits = INITIAL_LIMITS;
   /** Moving average of the answer sizes of each service, in bytes. */
   readonly #meanAnswerBytes = new Map<string, number>();
-  readonly #connections = new WeakMap<Socket, CallerConnection>();
+  readonly #connections = new Map<Socket, CallerConnection>();
   readonly #bodies: RequestBodies;
   #unfinishedRequests = 0;
   #lastRequestAt = 0;
@@ -118,13 +118,14 @@
     this.#server = createServer(
       { maxHeaderSize: INITIAL_LIMITS.maxHeaderBytes, noDelay: true },
       (request, response) =>
-        this.#connectionOf(request.socket).accept(request, response),
+        this.#connections.get(request.socket)?.accept(request, response),
     );
+    this.#server.on("connection", (socket) => this.#accept(socket));
     this.#server.requestTimeout = 0;
     this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
       if (!socket.writable || error.code === "ECONNRESET") {
         socket.destroy();
-      } else this.#connectionOf(socket as Socket).endMalformed(error.code);
+      } else this.#connections.get(socket as Socket)?.endMalformed(error.code);
     });
     this.#applyConfiguration();
     options.configuration.onChange(() => this.#applyConfiguration());
@@ -162,6 +163,21 @@
     this.#stopAdmission.startStop(times);
   }
 
+  /**
+   * Closes the listener, ends all connections at once, and cancels the requests
+   * without an answer.
+   *
+   * @param times Times after which the connections are closed in any case.
+   * @returns Resolves when all connections are closed.
+   */
+  async end(times: EndTimes): Promise<void> {
+    // The method of the HTTP server would destroy the idle connections.
+    ListeningServer.prototype.close.call(this.#server);
+    const connections = [...this.#connections.values()];
+    await Promise.all(connections.map((connection) => connection.end(times)));
+    this.close();
+  }
+
   /** Closes the listener and all connections. */
   close(): void {
     this.#server.close();
@@ -178,15 +194,13 @@
     this.#server.keepAliveTimeout = this.#limits.idleTimeoutMs;
   }
 
-  #connectionOf(socket: Socket): CallerConnection {
-    const known = this.#connections.get(socket);
-    if (known !== undefined) return known;
+  #accept(socket: Socket): void {
     const connection = new CallerConnection(socket, {
       start: (exchange) => this.#guard(exchange, () => this.#handle(exchange)),
+      onClosed: () => this.#connections.delete(socket),
       malformedAnswer,
     });
     this.#connections.set(socket, connection);
-    return connection;
   }
 
   #handle(exchange: Exchange): void {
--- a/packages/hop/socket_end.ts
+++ b/packages/hop/socket_end.ts
@@ -43,3 +43,27 @@
     check(true);
   });
 }
+
+/**
+ * Bytes that are read and dropped of a connection that has ended before it is
+ * destroyed. It is more than the kernels of both sides hold for a connection, so
+ * a sender that stops at the end of the connection stays below it.
+ */
+const MAX_DROPPED_BYTES = 16_777_216;
+
+/**
+ * Reads and drops what still arrives on a connection that has ended, in place of
+ * its other readers. Bytes that aren't read would reset the connection, and the
+ * other side would lose what was sent to it.
+ *
+ * @param socket Connection whose last bytes were written.
+ */
+export function dropIncoming(socket: Socket): void {
+  let droppedBytes = 0;
+  socket.removeAllListeners("data");
+  socket.on("data", (chunk: Buffer) => {
+    droppedBytes += chunk.length;
+    if (droppedBytes > MAX_DROPPED_BYTES) socket.destroy();
+  });
+  socket.resume();
+}
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -291,8 +291,11 @@
     clearInterval(this.#checkTimer);
     clearInterval(this.#reportTimer);
     this.#storeSync.close();
-    this.#callerProxy.close();
-    await this.#peerServer.end(endTimes(times));
+    const endings = endTimes(times);
+    await Promise.all([
+      this.#callerProxy.end(endings),
+      this.#peerServer.end(endings),
+    ]);
     this.#channels.close();
     this.#connections.close();
     this.#options.log.write("info", "node_stopped", { node });
