Count only the bytes of a body that may still be refused

After a burst of large uploads a host refused every request with a body, bookings among them, until its process ended. The refusal of a body ended its exchange, which took the bytes so far off the count; those that came later were added and never taken off. They are no longer counted.

--- a/packages/calling/_request_bodies.ts
+++ b/packages/calling/_request_bodies.ts
@@ -34,9 +34,9 @@
     let length = 0;
     request.on("data", (chunk: Buffer) => {
       chunks.push(chunk);
+      if (response.headersSent) return;
       length += chunk.length;
       this.#heldBytes += chunk.length;
-      if (response.headersSent) return;
       const error = this.#errorFor(length);
       if (error === undefined) return;
       chunks.length = 0;
--- a/packages/calling/_test_proxy.ts
+++ b/packages/calling/_test_proxy.ts
@@ -48,11 +48,19 @@
   /** Returns the delay of an answer, in milliseconds. */
   readonly delayMs?: (requestId: string) => number;
   readonly pressureOf?: () => number;
+  readonly maxBodyBytes?: number;
+  /** Bytes of bodies that may be held at the same time. */
+  readonly maxHeldBytes?: number;
 }
 
 /** Starts a proxy with one worker, and a caller of it. */
 export async function startProxy(
-  { delayMs = () => 0, pressureOf = () => 0 }: TestProxyOptions = {},
+  {
+    delayMs = () => 0,
+    pressureOf = () => 0,
+    maxBodyBytes = 1_000,
+    maxHeldBytes = 100_000,
+  }: TestProxyOptions = {},
 ) {
   const configuration = new ConfigurationHolder();
   configuration.put({
@@ -71,7 +79,7 @@
     services: [],
     limits: {
       maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_000,
+      maxBodyBytes,
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 5_000,
     },
@@ -100,7 +108,7 @@
     channels: () => [channel],
     pressureOf,
     onNestedCall: () => undefined,
-    maxHeldBytes: () => 100_000,
+    maxHeldBytes: () => maxHeldBytes,
     parentRequestOf: () => undefined,
     onRefusedBelow: () => undefined,
     onListenerError: (error) => {
@@ -115,7 +123,7 @@
     caller.socket.destroy();
     proxy.close();
   };
-  return { proxy, caller, channel, ran, unexpectedErrors, close };
+  return { proxy, port, caller, channel, ran, unexpectedErrors, close };
 }
 
 /** Returns a request without a body. */
