Keep nothing of a body after its refusal

A burst of uploads of 60 MB got the processes of the callers' hosts killed for their memory (over 350 MB), and reads that they had passed on were lost. The chunks that arrived after a refusal were kept until the body ended, and the connection was kept to read all of them.

The body's reader is taken off the stream at the refusal or the end of the exchange. At most 1 MiB more is read and thrown away; where more than 64 KiB may follow, the refusal closes the connection. A refused short body keeps its connection.

--- a/packages/calling/_answer_writer.ts
+++ b/packages/calling/_answer_writer.ts
@@ -1,4 +1,4 @@
-import { STATUS_CODES } from "node:http";
+import { type IncomingMessage, STATUS_CODES } from "node:http";
 import { ERROR_DETAILS, type ErrorKind } from "@oleanderdeck/errors";
 import type { Exchange } from "./_caller_connection.ts";
 import type { CallerRequest, TaskAnswer } from "./call_task.ts";
@@ -7,6 +7,12 @@
 /** Maximum size of a body that is copied and written with the header lines. */
 const MAX_JOINED_BYTES = 16_384;
 
+/**
+ * Maximum rest of a body, in bytes, that is read behind a refusal to keep its
+ * connection. Behind a longer one the connection closes.
+ */
+const MAX_UNREAD_BYTES = 65_536;
+
 /** Details of a refusal that are known when it is written. */
 export interface RefusalDetails {
   readonly requestId?: string;
@@ -112,12 +118,20 @@
   }
 
   #closingLines(exchange: Exchange): string[] {
-    return this.#isClosing && exchange.claimClose()
-      ? ["Connection", "close"]
-      : [];
+    const closes = this.#isClosing || hasLongRest(exchange.request);
+    return closes && exchange.claimClose() ? ["Connection", "close"] : [];
   }
 }
 
+// Whether more of a body may follow than is worth reading.
+function hasLongRest({ complete, headers }: IncomingMessage): boolean {
+  if (complete) return false;
+  const length = headers["content-length"];
+  return length === undefined
+    ? headers["transfer-encoding"] !== undefined
+    : Number(length) > MAX_UNREAD_BYTES;
+}
+
 /** Status of the answer to input on which the HTTP parser fails, by its code. */
 const PARSER_ERROR_STATUSES: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
--- a/packages/calling/_request_bodies.ts
+++ b/packages/calling/_request_bodies.ts
@@ -1,6 +1,13 @@
 import type { ErrorKind } from "@oleanderdeck/errors";
 import type { Exchange } from "./_caller_connection.ts";
 
+/**
+ * Maximum number of bytes of a refused body that are read and thrown away. A
+ * caller that has sent more than this ahead sees its refusal all the same, since
+ * the system holds what is not read.
+ */
+const MAX_DISCARDED_BYTES = 1_048_576;
+
 /** Options of {@linkcode RequestBodies}. */
 export interface RequestBodiesOptions {
   /** Returns the maximum length of one body, in bytes. */
@@ -22,7 +29,7 @@
   }
 
   /**
-   * Reads the body of a request.
+   * Reads the body of a request. After a refusal nothing of it is kept.
    *
    * @param exchange Request whose header is complete.
    * @param onRead Called with the chunks of the complete body, unless the request
@@ -32,20 +39,25 @@
     const { request, response } = exchange;
     const chunks: Buffer[] = [];
     let length = 0;
-    request.on("data", (chunk: Buffer) => {
+    const receive = (chunk: Buffer) => {
       chunks.push(chunk);
-      if (response.headersSent) return;
       length += chunk.length;
       this.#heldBytes += chunk.length;
       const error = this.#errorFor(length);
       if (error === undefined) return;
-      chunks.length = 0;
+      request.off("data", receive);
+      discardRest(exchange);
       this.#options.refuse(exchange, error);
-    });
+    };
+    request.on("data", receive);
     request.once("end", () => {
       if (!response.headersSent) onRead(chunks);
     });
-    exchange.onEnd(() => this.#heldBytes -= length);
+    exchange.onEnd(() => {
+      request.off("data", receive);
+      chunks.length = 0;
+      this.#heldBytes -= length;
+    });
   }
 
   #errorFor(length: number): ErrorKind | undefined {
@@ -55,3 +67,13 @@
       : undefined;
   }
 }
+
+// The stream is paused once enough was thrown away; it ends with the connection,
+// which closes behind the refusal.
+function discardRest({ request }: Exchange): void {
+  let discarded = 0;
+  request.on("data", (chunk: Buffer) => {
+    discarded += chunk.length;
+    if (discarded > MAX_DISCARDED_BYTES) request.pause();
+  });
+}
--- a/packages/calling/request_bodies_test.ts
+++ b/packages/calling/request_bodies_test.ts
@@ -45,3 +45,26 @@
   next.socket.write(upload("r1", 100));
   await expect.poll(() => next.answers).toMatchObject([{ status: 200 }]);
 });
+
+// Guards against a process that is killed for the memory of bodies that it has
+// refused: all that was sent after a refusal was kept until the body ended.
+test("nothing of a refused body is read at length", async () => {
+  const { caller } = await start({ maxHeldBytes: 2_000 });
+  caller.socket.write(uploadHead("r0", "content-length: 90000"));
+  caller.socket.write("x".repeat(4_000));
+  await expect.poll(() => caller.answers).toEqual([
+    expect.objectContaining({ status: 503, isClosing: true }),
+  ]);
+  await expect.poll(() => caller.socket.readableEnded).toBe(true);
+});
+
+// Guards against a refusal that costs its caller a kept connection although next
+// to nothing of the body is left.
+test("a refusal of a short body keeps the connection", async () => {
+  const { caller } = await start({ maxBodyBytes: 1_000 });
+  caller.socket.write(upload("r0", 1_100) + upload("r1", 100));
+  await expect.poll(() => caller.answers).toMatchObject([
+    { status: 413, isClosing: false },
+    { status: 200, isClosing: false },
+  ]);
+});
