Collect a body in blocks in place of its chunks

All chunks were then joined, which held each body twice.

The bytes of clients' bodies and of workers' answers are copied into one block as they arrive.

--- a/packages/calling/_request_bodies.ts
+++ b/packages/calling/_request_bodies.ts
@@ -1,4 +1,5 @@
 import type { ErrorKind } from "@oleanderdeck/errors";
+import { BodyBuffer } from "@oleanderdeck/serving";
 import type { Exchange } from "./_caller_connection.ts";
 
 /**
@@ -32,30 +33,28 @@
    * Reads the body of a request. After a refusal nothing of it is kept.
    *
    * @param exchange Request whose header is complete.
-   * @param onRead Called with the chunks of the complete body, unless the request
-   * was refused.
+   * @param onRead Called with the complete body, unless the request was refused.
    */
-  read(exchange: Exchange, onRead: (chunks: readonly Buffer[]) => void): void {
+  read(exchange: Exchange, onRead: (body: Buffer) => void): void {
     const { request, response } = exchange;
-    const chunks: Buffer[] = [];
+    const body = new BodyBuffer({ maxLength: this.#options.maxBodyBytes() });
     let length = 0;
     const receive = (chunk: Buffer) => {
-      chunks.push(chunk);
       length += chunk.length;
       this.#heldBytes += chunk.length;
       const error = this.#errorFor(length);
-      if (error === undefined) return;
+      if (error === undefined) return body.add(chunk);
       request.off("data", receive);
       discardRest(exchange);
       this.#options.refuse(exchange, error);
     };
     request.on("data", receive);
     request.once("end", () => {
-      if (!response.headersSent) onRead(chunks);
+      if (!response.headersSent) onRead(body.bytes);
     });
     exchange.onEnd(() => {
       request.off("data", receive);
-      chunks.length = 0;
+      body.clear();
       this.#heldBytes -= length;
     });
   }
--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -38,6 +38,8 @@
  */
 const SHED_RETRY_AFTER_MS = 300;
 
+const EMPTY = Buffer.alloc(0);
+
 /** Limits until the first configuration is known. */
 const INITIAL_LIMITS: CallerLimits = {
   maxHeaderBytes: 65_536,
@@ -225,14 +227,14 @@
       timeLeft,
     };
     if (!header.hasBody) {
-      return this.#run(exchange, { ...routedHeader, chunks: [] });
+      return this.#run(exchange, { ...routedHeader, body: EMPTY });
     }
     this.#bodies.read(
       exchange,
-      (chunks) =>
+      (body) =>
         this.#guard(
           exchange,
-          () => this.#run(exchange, { ...routedHeader, chunks }),
+          () => this.#run(exchange, { ...routedHeader, body }),
         ),
     );
   }
@@ -249,7 +251,7 @@
 
   #run(exchange: Exchange, routed: RoutedRequest): void {
     const { request, arrivedAt } = exchange;
-    const { route, service, requestId, forwarded, timeLeft, chunks } = routed;
+    const { route, service, requestId, forwarded, timeLeft, body } = routed;
     const { names } = this.#options;
     const deadline = arrivedAt + timeLimitMs(route, timeLeft);
     const parent = this.#options.parentRequestOf(requestId);
@@ -283,7 +285,7 @@
       method: request.method ?? "GET",
       target: request.url ?? "/",
       headers: [...forwarded, names.callerService, this.#options.callerService],
-      body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
+      body,
       service,
       isIdempotent: route.isIdempotent,
       maxAttempts: route.maxAttempts,
@@ -370,7 +372,7 @@
   readonly timeLeft: string | undefined;
 }
 
-/** Request with its route, its service and the chunks of its body. */
+/** Request with its route, its service and its body. */
 interface RoutedRequest extends RoutedHeader {
-  readonly chunks: readonly Buffer[];
+  readonly body: Buffer;
 }
--- a/packages/serving/_exchange.ts
+++ b/packages/serving/_exchange.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
 import type { Client, Dispatcher } from "undici";
+import { BodyBuffer } from "./body_buffer.ts";
 import type { HeaderNames } from "./header_names.ts";
 import { type ParsedHeaders, parseHeaders } from "./parse_headers.ts";
 import type {
@@ -31,6 +32,8 @@
 /** Value of the header by which a worker says that it is leaving. */
 const IS_LEAVING = "1";
 
+const EMPTY = Buffer.alloc(0);
+
 /** Connection to the worker, which carries one call at a time. */
 export interface WorkerConnection {
   readonly client: Client;
@@ -62,7 +65,7 @@
 export class Exchange implements Dispatcher.DispatchHandler {
   readonly #call: WorkerCall;
   readonly #options: ExchangeOptions;
-  readonly #chunks: Buffer[] = [];
+  #body: BodyBuffer | undefined;
   #controller: Dispatcher.DispatchController | undefined;
   #status = 0;
   #heldBytes = 0;
@@ -159,7 +162,8 @@
     chunk: Buffer,
   ): void {
     if (this.#isUnusableAnswer) return;
-    this.#chunks.push(chunk);
+    this.#body ??= new BodyBuffer({ maxLength: this.#maxBodyBytes });
+    this.#body.add(chunk);
     this.#heldBytes += chunk.length;
     this.#options.onHeldBytesChange(chunk.length);
   }
@@ -188,9 +192,7 @@
       kind: "answer",
       status: this.#status,
       headers: forwarded,
-      body: this.#chunks.length === 1
-        ? this.#chunks[0]!
-        : Buffer.concat(this.#chunks),
+      body: this.#body?.bytes ?? EMPTY,
       isRefusedBelow: false,
     });
   }
@@ -204,6 +206,12 @@
     else this.#fail(this.#controller !== undefined);
   }
 
+  // The HTTP client ends an answer that is longer than stated.
+  get #maxBodyBytes(): number {
+    const stated = Number(this.#headers.values.get("content-length"));
+    return Number.isFinite(stated) ? stated : Infinity;
+  }
+
   // The connection is sound; only the request cannot be written.
   #rejectRequest(): void {
     this.#isReusable = this.#options.connection.socket !== undefined;
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+export * from "./body_buffer.ts";
 export * from "./departed_workers.ts";
 export * from "./parse_headers.ts";
 export * from "./header_names.ts";
