Cut endless answers of workers without holding them in blocks

A worker that sent 30 answers without end took its node to 263 MB, over its 250 MB: each began a block of its own that grew by copies.

An answer whose stated length can never fit in is cut at its head. Chunks of answers of unknown length are kept up to the limit of the account, small ones in parts, and joined at the end. Bodies of callers become one block above 4 MiB.

--- a/packages/serving/_exchange.ts
+++ b/packages/serving/_exchange.ts
@@ -57,6 +57,8 @@
   readonly connection: WorkerConnection;
   /** Called with what the worker says of itself in the header of its answer. */
   readonly onHeader: (stated: AnswerStatement) => void;
+  /** Returns the greatest length of a body that fits in, in bytes. */
+  readonly maxBodyBytes: () => number;
   /** Memory of the answer, which the exchange closes. */
   readonly reservation: MemoryReservation;
   /**
@@ -149,6 +151,8 @@
     // An answer without a length cannot be distinguished from a truncated one
     // and may be endless.
     if (!this.#hasLength) return this.abort("Answer has no length header");
+    this.#startBody();
+    if (this.#isUnusableAnswer) return;
     // A faulty worker may write an earlier answer or refusal once more; without
     // the identity of this request it proves nothing about it.
     const echoed = values.get(this.#options.names.requestId.toLowerCase());
@@ -164,6 +168,26 @@
     });
   }
 
+  // Many endless answers at once would each begin a block, so none is begun for a
+  // body of unknown length.
+  #startBody(): void {
+    const stated = this.#headers.values.get("content-length");
+    const hasBody = this.#call.method !== "HEAD" &&
+      !BODILESS_STATUSES.includes(this.#status);
+    const length = stated === undefined || !hasBody
+      ? undefined
+      : Number(stated);
+    const maxLength = this.#options.maxBodyBytes();
+    if (length !== undefined && length > maxLength) {
+      return this.abort("Answer is longer than fits in the memory");
+    }
+    this.#body = new BodyBuffer({
+      length,
+      maxLength,
+      maxJoinedLength: Infinity,
+    });
+  }
+
   onResponseData(
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
@@ -174,8 +198,7 @@
       makeRoom(chunk.length);
       if (this.#isUnusableAnswer) return;
     }
-    this.#body ??= new BodyBuffer({ maxLength: this.#maxBodyBytes });
-    this.#body.add(chunk);
+    this.#body!.add(chunk);
   }
 
   onResponseEnd(): void {
@@ -217,12 +240,6 @@
     else this.#fail(this.#controller !== undefined);
   }
 
-  // The HTTP client ends an answer that is longer than stated.
-  get #maxBodyBytes(): number {
-    const stated = Number(this.#headers.values.get("content-length"));
-    return Number.isFinite(stated) ? stated : Infinity;
-  }
-
   // The connection is sound; only the request cannot be written.
   #rejectRequest(): void {
     this.#isReusable = this.#options.connection.socket !== undefined;
--- a/packages/serving/body_buffer.ts
+++ b/packages/serving/body_buffer.ts
@@ -1,33 +1,46 @@
-/**
- * Size of the first block of a body of unknown length, in bytes. Such bodies are
- * small mostly.
- */
-const FIRST_BLOCK_BYTES = 4_096;
+/** Usual value of {@linkcode BodyBufferOptions.maxJoinedLength}, in bytes. */
+const MAX_JOINED_BYTES = 4_194_304;
 
-/** Size up to which a block doubles when it is full, in bytes. */
-const MAX_DOUBLED_BYTES = 1_048_576;
+/** Factor by which the block of a long body of unknown length grows. */
+const BLOCK_GROWTH_FACTOR = 16;
 
-/**
- * Factor by which a larger block grows. Hardly anything is then copied twice, and
- * the part that is not written yet occupies no memory.
- */
-const LARGE_GROWTH_FACTOR = 16;
+/** Length from which a chunk is kept as it is, in bytes. */
+const LARGE_CHUNK_BYTES = 8_192;
+
+/** Greatest length of the buffer of a chunk that is kept, in lengths of the chunk. */
+const MAX_KEPT_FACTOR = 8;
+
+/** Bounds of the size of a block into which small chunks are copied, in bytes. */
+const MIN_PART_BYTES = 4_096;
+const MAX_PART_BYTES = 65_536;
 
 /** Options of {@linkcode BodyBuffer}. */
 export interface BodyBufferOptions {
-  /** Length of the complete body in bytes; undefined if it is not known. */
-  readonly length?: number;
+  /** Length of the complete body in bytes, if it is known and fits in. */
+  readonly length?: number | undefined;
   /** Maximum length in bytes, if the length is not known. */
   readonly maxLength: number;
+  /**
+   * Length of a body of unknown length up to which its chunks are kept and joined
+   * at the end, in bytes. A longer one is collected in one block, so that it is not
+   * held twice.
+   */
+  readonly maxJoinedLength?: number;
 }
 
 /**
- * Collects the chunks of a body in one block, so that its memory follows the bytes
- * and not the number of chunks, and nothing is joined at the end. The system
- * provides the memory of a large block only as it is written.
+ * Collects the chunks of a body, so that its memory follows the bytes and not the
+ * number of chunks. The system provides the memory of a large block only as it is
+ * written.
  */
 export class BodyBuffer {
   readonly #options: BodyBufferOptions;
+  /** Chunks, and filled blocks of small chunks, in order. */
+  #parts: Buffer[] = [];
+  /** Block that small chunks are copied into, behind the parts. */
+  #open: Buffer | undefined;
+  #openLength = 0;
+  /** Block with all bytes, in place of the parts. */
   #block: Buffer | undefined;
   #length = 0;
 
@@ -41,9 +54,16 @@
     return this.#length;
   }
 
-  /** Bytes so far; they remain valid when others are added. */
+  /** Bytes so far. */
   get bytes(): Buffer {
-    return this.#block?.subarray(0, this.#length) ?? Buffer.alloc(0);
+    if (this.#block === undefined) {
+      this.#closePart();
+      this.#block = this.#parts.length === 1
+        ? this.#parts[0]!
+        : Buffer.concat(this.#parts);
+      this.#parts = [];
+    }
+    return this.#block.subarray(0, this.#length);
   }
 
   /**
@@ -52,35 +72,70 @@
    * @throws {RangeError} If the body would be longer than its length.
    */
   add(chunk: Buffer): void {
+    if (chunk.length === 0) return;
     const length = this.#length + chunk.length;
     const { length: known, maxLength } = this.#options;
+    const { maxJoinedLength = MAX_JOINED_BYTES } = this.#options;
     if (length > (known ?? maxLength)) {
       throw new RangeError("Body is longer than stated");
     }
-    if (chunk.length === 0) return;
-    if (chunk.length === (known ?? maxLength)) {
-      this.#block = chunk;
-    } else {
-      this.#reserve(length);
-      chunk.copy(this.#block!, this.#length);
-    }
+    if (chunk.length === (known ?? maxLength)) this.#block = chunk;
+    else if (known !== undefined) this.#copyToBlock(chunk, known);
+    else if (length > maxJoinedLength || this.#block !== undefined) {
+      this.#copyToBlock(chunk, BLOCK_GROWTH_FACTOR * this.#length);
+    } else this.#addPart(chunk);
     this.#length = length;
   }
 
   /** Frees the bytes. */
   clear(): void {
+    this.#parts = [];
+    this.#open = undefined;
+    this.#openLength = 0;
     this.#block = undefined;
     this.#length = 0;
   }
 
-  #reserve(length: number): void {
-    const size = this.#block?.length ?? 0;
-    if (size >= length) return;
-    const { length: known, maxLength } = this.#options;
-    const factor = size < MAX_DOUBLED_BYTES ? 2 : LARGE_GROWTH_FACTOR;
-    const wanted = Math.max(FIRST_BLOCK_BYTES, factor * size, length);
-    const block = Buffer.allocUnsafeSlow(known ?? Math.min(wanted, maxLength));
-    this.#block?.copy(block, 0, 0, this.#length);
-    this.#block = block;
+  #copyToBlock(chunk: Buffer, wantedSize: number): void {
+    const length = this.#length + chunk.length;
+    if (this.#block === undefined || this.#block.length < length) {
+      const { length: known, maxLength } = this.#options;
+      const size = Math.min(Math.max(wantedSize, length), known ?? maxLength);
+      const block = Buffer.allocUnsafeSlow(size);
+      this.#closePart();
+      const parts = this.#block === undefined
+        ? this.#parts
+        : [this.#block.subarray(0, this.#length)];
+      parts.reduce((at, part) => at + part.copy(block, at), 0);
+      this.#parts = [];
+      this.#block = block;
+    }
+    chunk.copy(this.#block, this.#length);
+  }
+
+  #addPart(chunk: Buffer): void {
+    // A view of a much larger buffer would keep all of that.
+    const isOwn = MAX_KEPT_FACTOR * chunk.length >= chunk.buffer.byteLength;
+    if (chunk.length >= LARGE_CHUNK_BYTES && isOwn) {
+      this.#closePart();
+      this.#parts.push(chunk);
+      return;
+    }
+    const room = (this.#open?.length ?? 0) - this.#openLength;
+    if (room < chunk.length) {
+      this.#closePart();
+      const size = Math.min(this.#length, MAX_PART_BYTES);
+      this.#open = Buffer.allocUnsafeSlow(
+        Math.max(MIN_PART_BYTES, size, chunk.length),
+      );
+    }
+    this.#openLength += chunk.copy(this.#open!, this.#openLength);
+  }
+
+  #closePart(): void {
+    if (this.#open === undefined) return;
+    this.#parts.push(this.#open.subarray(0, this.#openLength));
+    this.#open = undefined;
+    this.#openLength = 0;
   }
 }
--- a/packages/serving/body_buffer_test.ts
+++ b/packages/serving/body_buffer_test.ts
@@ -27,6 +27,21 @@
 
 // Guards against a process that ends by its heap, as each chunk of a body was kept
 // as an object.
+// Guards against chunks that are lost where parts become one block.
+test("long bodies are the bytes of their chunks", () => {
+  const total = 9_000_000;
+  const expected = Buffer.alloc(total, "0123456789ABCDEFG");
+  for (const size of [700, 20_000, 1_000_000]) {
+    [{ maxLength: 2 * total }, { maxLength: total }].forEach((options) => {
+      const body = new BodyBuffer(options);
+      for (let at = 0; at < total; at += size) {
+        body.add(Buffer.from(expected.subarray(at, at + size)));
+      }
+      expect(body.bytes.equals(expected)).toBe(true);
+    });
+  }
+});
+
 test("the memory of a body follows its bytes", () => {
   const body = new BodyBuffer({ maxLength: 64 * 1024 * 1024 });
   const chunk = Buffer.alloc(1, "x");
--- a/packages/serving/worker_connections.ts
+++ b/packages/serving/worker_connections.ts
@@ -92,6 +92,7 @@
       dropped: this.#dropped,
       connection,
       onHeader,
+      maxBodyBytes: () => this.#options.account.limitOf("worker_answers"),
       reservation,
       makeRoom: (bytes) => {
         while (!reservation.grow(bytes)) {
