--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -8,6 +8,7 @@
 import { type EndTimes, listen } from "@oleanderdeck/hop";
 import {
   type HeaderNames,
+  type MemoryAccount,
   rankOfNested,
   rankOfRoot,
   type WorkerCall,
@@ -42,6 +43,8 @@
  */
 const SHED_RETRY_AFTER_MS = 300;
 
+const EMPTY = Buffer.alloc(0);
+
 /** Limits until the first configuration is known. */
 const INITIAL_LIMITS: CallerLimits = {
   maxHeaderBytes: 65_536,
@@ -67,10 +70,8 @@
   readonly pressureOf: (service: string, route: string) => number;
   /** Called for each call that the worker makes while it runs a request. */
   readonly onNestedCall: (call: NestedCall) => void;
-  /**
-   * Returns the number of bytes of request bodies that may be held in memory.
-   */
-  readonly maxHeldBytes: () => number;
+  /** Account of the memory for bodies, and for answers that wait. */
+  readonly account: MemoryAccount;
   /**
    * Returns the request that the worker on this host runs and that led to the
    * call with the given request identity; undefined if the call begins a chain.
@@ -113,11 +114,13 @@
     this.#answerWriter = new AnswerWriter({
       requestIdField: options.names.requestId,
       observer: options.observer,
+      account: options.account,
     });
     this.#bodies = new RequestBodies({
       maxBodyBytes: () => this.#limits.maxBodyBytes,
-      maxHeldBytes: options.maxHeldBytes,
-      refuse: (exchange, error) => this.#answerWriter.refuse(exchange, error),
+      account: options.account,
+      refuse: (exchange, error, details) =>
+        this.#answerWriter.refuse(exchange, error, details),
     });
     this.#server = createServer(
       { maxHeaderSize: INITIAL_LIMITS.maxHeaderBytes, noDelay: true },
@@ -233,7 +236,7 @@
         : "no_route";
       return this.#answerWriter.refuse(exchange, error, { requestId });
     }
-    if (header.bodyBytes > this.#limits.maxBodyBytes) {
+    if ((header.bodyBytes ?? 0) > this.#limits.maxBodyBytes) {
       return this.#answerWriter.refuse(exchange, "too_large", {
         requestId,
         service,
@@ -248,14 +251,17 @@
       timeLeft,
     };
     if (!header.hasBody) {
-      return this.#run(exchange, { ...routedHeader, chunks: [] });
+      return this.#run(exchange, { ...routedHeader, body: EMPTY });
     }
+    const { bodyBytes: length } = header;
+    const deadline = exchange.arrivedAt + timeLimitMs(route, timeLeft);
     this.#bodies.read(
       exchange,
-      (chunks) =>
+      { length, deadline },
+      (body) =>
         this.#guard(
           exchange,
-          () => this.#run(exchange, { ...routedHeader, chunks }),
+          () => this.#run(exchange, { ...routedHeader, body }),
         ),
     );
   }
@@ -272,7 +278,7 @@
 
   #run(exchange: Exchange, routed: RoutedRequest): void {
     const { request, arrivedAt } = exchange;
-    const { route, service, requestId, forwarded, timeLeft, chunks } = routed;
+    const { route, service, requestId, forwarded, timeLeft, body } = routed;
     const { names } = this.#options;
     const deadline = arrivedAt + timeLimitMs(route, timeLeft);
     const parent = this.#options.parentRequestOf(requestId);
@@ -306,7 +312,7 @@
       method: request.method ?? "GET",
       target: request.url ?? "/",
       headers: [...forwarded, names.callerService, this.#options.callerService],
-      body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
+      body,
       service,
       isIdempotent: route.isIdempotent,
       maxAttempts: route.maxAttempts,
@@ -393,7 +399,7 @@
   readonly timeLeft: string | undefined;
 }
 
-/** Request with its route, its service and the chunks of its body. */
+/** Request with its route, its service and its body. */
 interface RoutedRequest extends RoutedHeader {
-  readonly chunks: readonly Buffer[];
+  readonly body: Buffer;
 }
--- a/packages/hop/link.ts
+++ b/packages/hop/link.ts
@@ -1,5 +1,9 @@
 import { connect, type Socket } from "node:net";
-import { FrameDecoder, FrameEncoder } from "./frame_codec.ts";
+import {
+  type BodyAcceptance,
+  FrameDecoder,
+  FrameEncoder,
+} from "./frame_codec.ts";
 import type { Frame } from "./frame.ts";
 import { destroyWhenEnded, type EndTimes } from "./socket_end.ts";
 
@@ -78,6 +82,8 @@
 export interface LinkHandlers {
   /** Called with each received frame other than ping and pong. */
   readonly onFrame: (frame: Frame) => void;
+  /** Asked for each long body; all are received if absent. */
+  readonly acceptBody?: BodyAcceptance;
   /** Called once when the link has closed, with the reason. */
   readonly onClose: (reason: string) => void;
 }
@@ -89,9 +95,10 @@
 export class Link {
   readonly #socket: Socket;
   readonly #handlers: LinkHandlers;
-  readonly #decoder = new FrameDecoder();
+  readonly #decoder: FrameDecoder;
   readonly #encoder = new FrameEncoder();
   #unwritten: Buffer[] = [];
+  #onWritten: (() => void)[] = [];
   #lastReceived = performance.now();
   #lastChecked = performance.now();
   #pingedAt: number | undefined;
@@ -110,6 +117,7 @@
   constructor({ socket, onBytes }: LinkSocket, handlers: LinkHandlers) {
     this.#socket = socket;
     this.#handlers = handlers;
+    this.#decoder = new FrameDecoder(handlers.acceptBody);
     socket.setNoDelay(true);
     onBytes((bytes) => this.#receive(bytes));
     socket.on("error", (error) => this.close(error.message));
@@ -122,6 +130,11 @@
     return this.#isClosed;
   }
 
+  /** Number of bytes that the peer has not taken yet. */
+  get unsentBytes(): number {
+    return this.#socket.writableLength;
+  }
+
   /**
    * Whether, at the last check, a ping had been unanswered for longer than
    * {@linkcode SUSPECT_AFTER_MS}.
@@ -134,9 +147,14 @@
   /**
    * Sends a frame; does nothing on a closed or ended link. Frames sent in one turn
    * of the event loop are written with one system call.
+   *
+   * @param frame Frame to send.
+   * @param onWritten Called when the system has taken the frame; possibly not at
+   * all once the link is closed.
    */
-  send(frame: Frame): void {
+  send(frame: Frame, onWritten?: () => void): void {
     if (this.#isClosed || this.#hasEnded) return;
+    if (onWritten !== undefined) this.#onWritten.push(onWritten);
     if (this.#unwritten.length === 0) setImmediate(() => this.#flush());
     this.#unwritten.push(...this.#encoder.encode(frame));
   }
@@ -207,15 +225,21 @@
 
   #flush(): void {
     const chunks = this.#unwritten;
+    const listeners = this.#onWritten;
     this.#unwritten = [];
+    this.#onWritten = [];
     if (this.#isClosed || chunks.length === 0) return;
+    const onWritten = listeners.length === 0
+      ? undefined
+      : () => listeners.forEach((listener) => listener());
     const bytes = chunks.reduce((sum, { length }) => sum + length, 0);
     if (chunks.length > 1 && bytes <= MAX_JOINED_BYTES) {
-      this.#socket.write(Buffer.concat(chunks, bytes));
+      this.#socket.write(Buffer.concat(chunks, bytes), onWritten);
       return;
     }
     this.#socket.cork();
-    chunks.forEach((chunk) => this.#socket.write(chunk));
+    chunks.slice(0, -1).forEach((chunk) => this.#socket.write(chunk));
+    this.#socket.write(chunks.at(-1)!, onWritten);
     this.#socket.uncork();
   }
 
--- a/packages/serving/_exchange.ts
+++ b/packages/serving/_exchange.ts
@@ -1,6 +1,8 @@
 import type { Socket } from "node:net";
 import type { Client, Dispatcher } from "undici";
+import { BodyBuffer } from "./body_buffer.ts";
 import type { HeaderNames } from "./header_names.ts";
+import type { MemoryReservation } from "./memory_account.ts";
 import { type ParsedHeaders, parseHeaders } from "./parse_headers.ts";
 import type {
   AnswerStatement,
@@ -31,6 +33,8 @@
 /** Value of the header by which a worker says that it is leaving. */
 const IS_LEAVING = "1";
 
+const EMPTY = Buffer.alloc(0);
+
 /** Connection to the worker, which carries one call at a time. */
 export interface WorkerConnection {
   readonly client: Client;
@@ -53,8 +57,15 @@
   readonly connection: WorkerConnection;
   /** Called with what the worker says of itself in the header of its answer. */
   readonly onHeader: (stated: AnswerStatement) => void;
-  /** Called with the change of the number of buffered bytes of the answer. */
-  readonly onHeldBytesChange: (bytes: number) => void;
+  /** Returns the greatest length of a body that fits in, in bytes. */
+  readonly maxBodyBytes: () => number;
+  /** Memory of the answer, which the exchange closes. */
+  readonly reservation: MemoryReservation;
+  /**
+   * Reserves memory for a part of the answer that does not fit in, by aborting the
+   * largest answers, which may be that of the exchange.
+   */
+  readonly makeRoom: (bytes: number) => void;
   readonly finish: (result: WorkerResult) => void;
 }
 
@@ -62,10 +73,9 @@
 export class Exchange implements Dispatcher.DispatchHandler {
   readonly #call: WorkerCall;
   readonly #options: ExchangeOptions;
-  readonly #chunks: Buffer[] = [];
+  #body: BodyBuffer | undefined;
   #controller: Dispatcher.DispatchController | undefined;
   #status = 0;
-  #heldBytes = 0;
   /** Bytes that the connection had received before this request. */
   #bytesReadBefore = 0;
   #headers: ParsedHeaders = { forwarded: [], values: new Map() };
@@ -87,7 +97,7 @@
 
   /** Number of buffered bytes of the answer's body. */
   get heldBytes(): number {
-    return this.#heldBytes;
+    return this.#options.reservation.bytes;
   }
 
   /** Aborts the exchange if it received far more bytes than the body holds. */
@@ -96,7 +106,7 @@
     if (socket === undefined || this.#controller === undefined) return;
     const receivedBytes = socket.bytesRead - this.#bytesReadBefore;
     const maxBytes = MAX_OVERHEAD_BYTES +
-      MAX_OVERHEAD_FACTOR * this.#heldBytes;
+      MAX_OVERHEAD_FACTOR * this.heldBytes;
     if (receivedBytes > maxBytes) this.abort("Received bytes exceed the limit");
   }
 
@@ -104,6 +114,8 @@
   abort(reason: string): void {
     if (this.#isDone) return;
     this.#isUnusableAnswer = true;
+    this.#options.reservation.close();
+    this.#body?.clear();
     this.#controller?.abort(new Error(reason));
   }
 
@@ -139,6 +151,8 @@
     // An answer without a length cannot be distinguished from a truncated one
     // and may be endless.
     if (!this.#hasLength) return this.abort("Answer has no length header");
+    this.#startBody();
+    if (this.#isUnusableAnswer) return;
     // A faulty worker may write an earlier answer or refusal once more; without
     // the identity of this request it proves nothing about it.
     const echoed = values.get(this.#options.names.requestId.toLowerCase());
@@ -154,18 +168,42 @@
     });
   }
 
+  // Many endless answers at once would each begin a block, so none is begun for a
+  // body of unknown length.
+  #startBody(): void {
+    const stated = this.#headers.values.get("content-length");
+    const hasBody = this.#call.method !== "HEAD" &&
+      !BODILESS_STATUSES.includes(this.#status);
+    const length = stated === undefined || !hasBody
+      ? undefined
+      : Number(stated);
+    const maxLength = this.#options.maxBodyBytes();
+    if (length !== undefined && length > maxLength) {
+      return this.abort("Answer is longer than fits in the memory");
+    }
+    this.#body = new BodyBuffer({
+      length,
+      maxLength,
+      maxJoinedLength: Infinity,
+    });
+  }
+
   onResponseData(
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
     if (this.#isUnusableAnswer) return;
-    this.#chunks.push(chunk);
-    this.#heldBytes += chunk.length;
-    this.#options.onHeldBytesChange(chunk.length);
+    const { makeRoom, reservation } = this.#options;
+    if (!reservation.grow(chunk.length)) {
+      makeRoom(chunk.length);
+      if (this.#isUnusableAnswer) return;
+    }
+    this.#body!.add(chunk);
   }
 
   onResponseEnd(): void {
     if (this.#isDone) return;
+    if (this.#isUnusableAnswer) return this.#fail(true);
     this.#isReusable = true;
     const { names } = this.#options;
     const { forwarded, values } = this.#headers;
@@ -188,9 +226,7 @@
       kind: "answer",
       status: this.#status,
       headers: forwarded,
-      body: this.#chunks.length === 1
-        ? this.#chunks[0]!
-        : Buffer.concat(this.#chunks),
+      body: this.#body?.bytes ?? EMPTY,
       isRefusedBelow: false,
     });
   }
@@ -234,7 +270,7 @@
 
   #finish(result: WorkerResult): void {
     this.#isDone = true;
-    this.#options.onHeldBytesChange(-this.#heldBytes);
+    this.#options.reservation.close();
     this.#options.finish(result);
   }
 }
