Refuse calls that cannot end before a stopping node does

Cause: only requests that begin a chain were asked whether they fit into the stop. Calls that the worker makes were passed on until the node closed, and its gate took calls of other hosts for up to 2.2 s, however long they last.

--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -11,6 +11,8 @@
   type MemoryAccount,
   rankOfNested,
   rankOfRoot,
+  StopAdmission,
+  type StopTimes,
   type WorkerCall,
 } from "@oleanderdeck/serving";
 import {
@@ -21,7 +23,6 @@
 import { CallerConnection, type Exchange } from "./_caller_connection.ts";
 import { RequestBodies } from "./_request_bodies.ts";
 import { RequestHeaderReader, timeLimitMs } from "./_request_header.ts";
-import { StopAdmission, type StopTimes } from "./stop_admission.ts";
 import { type CallerRequest, CallTask, type TaskResult } from "./call_task.ts";
 import type {
   CallerProxyObserver,
@@ -288,15 +289,16 @@
         route: route.name,
         service,
       });
-    } else {
-      this.#lastRequestAt = arrivedAt;
-      if (!this.#stopAdmission.accepts(route, deadline)) {
-        return this.#answerWriter.refuse(exchange, "draining", {
-          requestId,
-          service,
-          retryAfterMs: this.#stopAdmission.retryAfterMs,
-        });
-      }
+    } else this.#lastRequestAt = arrivedAt;
+    if (!this.#isAcceptedInStop(route, deadline, parent !== undefined)) {
+      if (parent !== undefined) this.#options.onRefusedBelow(parent);
+      return this.#answerWriter.refuse(exchange, "draining", {
+        requestId,
+        service,
+        retryAfterMs: this.#stopAdmission.retryAfterMs,
+      });
+    }
+    if (parent === undefined) {
       const pressure = this.#options.pressureOf(service, route.name);
       if (this.#isShed(route, pressure)) {
         return this.#answerWriter.refuse(exchange, "downstream_pressure", {
@@ -344,6 +346,16 @@
     task.start();
   }
 
+  #isAcceptedInStop(
+    { name }: Route,
+    deadline: number,
+    isNested: boolean,
+  ): boolean {
+    return isNested
+      ? this.#stopAdmission.acceptsFromWorker(name, deadline)
+      : this.#stopAdmission.acceptsRequest(name, deadline);
+  }
+
   #isShed({ priority }: Route, pressure: number): boolean {
     this.#shedding.recordArrival(priority);
     return Math.random() < this.#shedding.refusalShare(priority, pressure);
--- a/packages/calling/mod.ts
+++ b/packages/calling/mod.ts
@@ -13,7 +13,6 @@
 export * from "./peer_channel.ts";
 export * from "./root_shedding.ts";
 export * from "./route_table.ts";
-export * from "./stop_admission.ts";
 export * from "./worker_channel.ts";
 export * from "./worker_choice.ts";
 export * from "./worker_statements.ts";
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -14,6 +14,7 @@
 export * from "./rank.ts";
 export * from "./request_limit.ts";
 export * from "./ranked_queue.ts";
+export * from "./stop_admission.ts";
 export * from "./worker_call.ts";
 export * from "./worker_connections.ts";
 export * from "./worker_gate.ts";
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -5,6 +5,7 @@
 import type { GateIntervalCounts } from "./overload_meter.ts";
 import { isNestedRank } from "./rank.ts";
 import { RankedQueue } from "./ranked_queue.ts";
+import { StopAdmission, type StopTimes } from "./stop_admission.ts";
 import type { WorkerCall, WorkerResult } from "./worker_call.ts";
 import type { ExchangeHandle } from "./worker_connections.ts";
 import type {
@@ -67,6 +68,7 @@
   readonly #selfReport: WorkerSelfReport;
   readonly #repeats: RepeatAdmission;
   readonly #estimates = new CallEstimates();
+  readonly #stopAdmission = new StopAdmission();
   readonly #callsAtWorker = new Map<string, WorkerCall>();
   /** Requests during whose execution a call of the worker was refused. */
   readonly #refusedBelow = new WeakSet<WorkerCall>();
@@ -175,6 +177,8 @@
     };
     if (!this.isOpen) {
       this.#refuse(pending, this.#isClosed ? "draining" : "no_worker");
+    } else if (!this.#endsBeforeStop(call)) {
+      this.#refuse(pending, "draining");
     } else if (call.isRepeat && !this.#repeats.mayAdmit(call.rank)) {
       this.#refuseRepeat(pending);
     } else if (this.#queue.length === 0 && this.#startDelayMs === 0) {
@@ -215,12 +219,22 @@
     return interval;
   }
 
+  /** Begins to refuse calls that are not expected to end before the node does. */
+  startStop(times: StopTimes): void {
+    this.#stopAdmission.startStop(times);
+  }
+
   /** Refuses all waiting and later calls; those at the worker continue. */
   close(): void {
     this.#isClosed = true;
     this.#refuseWaiting("draining");
   }
 
+  #endsBeforeStop({ route, timeLeftMs }: WorkerCall): boolean {
+    const deadline = performance.now() + timeLeftMs;
+    return this.#stopAdmission.acceptsAtWorker(route, deadline);
+  }
+
   #enqueue(pending: PendingCall): void {
     const { call } = pending;
     const usefulWaitMs = call.timeLeftMs - 2 * this.#estimates.holdMs;
@@ -304,7 +318,9 @@
       (result.error === "caller_cancelled" ||
         result.error === "malformed_request");
     if (isAnswer) {
-      this.#estimates.recordHold(performance.now() - pending.startedAt);
+      const heldMs = performance.now() - pending.startedAt;
+      this.#estimates.recordHold(heldMs);
+      this.#stopAdmission.recordAnswer(pending.call.route, heldMs);
       this.#lastAnswerAt = performance.now();
       this.#refusedConnections = 0;
     } else if (
--- a/packages/sidecar/_stop_times.ts
+++ b/packages/sidecar/_stop_times.ts
@@ -1,4 +1,4 @@
-import type { StopTimes } from "@oleanderdeck/calling";
+import type { StopTimes } from "@oleanderdeck/serving";
 import type { EndTimes } from "@oleanderdeck/hop";
 
 /**
--- a/packages/sidecar/node_stop.ts
+++ b/packages/sidecar/node_stop.ts
@@ -1,6 +1,6 @@
-import type { CallerProxy, StopTimes } from "@oleanderdeck/calling";
+import type { CallerProxy } from "@oleanderdeck/calling";
 import type { EventLog } from "@oleanderdeck/observability";
-import type { WorkerGate } from "@oleanderdeck/serving";
+import type { StopTimes, WorkerGate } from "@oleanderdeck/serving";
 import { sleep } from "./_sleep.ts";
 import { stopTimes } from "./_stop_times.ts";
 import type { LocalWorker } from "./local_worker.ts";
@@ -22,7 +22,7 @@
   readonly settings: () => SidecarSettings;
   readonly callerProxy: CallerProxy;
   readonly worker: Pick<LocalWorker, "hasUnstoredDeparture" | "withdrawUnused">;
-  readonly gate: Pick<WorkerGate, "close" | "unfinished">;
+  readonly gate: Pick<WorkerGate, "close" | "startStop" | "unfinished">;
   readonly peerServer: Pick<PeerServer, "sendChangedLoad">;
   readonly log: Pick<EventLog, "write">;
   /** Closes the listeners, links and connections of the node. */
@@ -77,6 +77,7 @@
     log.write("info", "node_stopping", { node, requests, calls });
     const times = stopTimes(graceMs);
     callerProxy.startStop(times);
+    gate.startStop(times);
     worker.withdrawUnused();
     // The worker accepts calls until the callers on this host have left.
     await waitUntil(
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -1,8 +1,4 @@
-import {
-  CallerProxy,
-  LocalChannel,
-  type StopTimes,
-} from "@oleanderdeck/calling";
+import { CallerProxy, LocalChannel } from "@oleanderdeck/calling";
 import {
   ConfigurationHolder,
   type PlatformStore,
@@ -15,6 +11,7 @@
   MemoryAccount,
   type MemoryLimits,
   memoryLimits,
+  type StopTimes,
   WorkerConnections,
   WorkerGate,
   type WorkerHeartbeat,
