Answer the requests that were sent ahead before a stop closes their connection

Callers that send many requests ahead lost those behind the eighth when their node stopped: they were read, and the connection closed without an answer.

Cause: an answer closed the connection when no started request stood behind its own, and dropped those that waited to be started.

Change: an answer closes the connection only if no request that was read stands behind its own. Those that wait are started as before and get an answer, late in a stop a refusal. Behind a request that asks for the close they are still dropped: nothing is read there.

--- a/packages/calling/_caller_connection.ts
+++ b/packages/calling/_caller_connection.ts
@@ -61,8 +61,7 @@
 
   /**
    * Whether the answer may close the connection; true if no request that was
-   * started stands behind this one. Those that were not started are then
-   * dropped, and none is started any more.
+   * read stands behind this one. None is then started any more.
    */
   claimClose(): boolean {
     return this.#connection.claimClose(this);
@@ -122,10 +121,10 @@
 
   /** See {@linkcode Exchange.claimClose}. */
   claimClose(exchange: Exchange): boolean {
-    if (this.#started.at(-1) !== exchange) return false;
-    this.#isClosing = true;
-    this.#waiting.length = 0;
-    return true;
+    const isLast = this.#started.at(-1) === exchange &&
+      this.#waiting.length === 0;
+    if (isLast) this.#isClosing = true;
+    return isLast;
   }
 
   /**
@@ -185,7 +184,10 @@
         this.#writeLastAnswer();
       });
       // The caller reads nothing behind the answer to such a request.
-      if (!next.response.shouldKeepAlive) this.claimClose(next);
+      if (!next.response.shouldKeepAlive) {
+        this.#waiting.length = 0;
+        this.#isClosing = true;
+      }
       this.#options.start(next);
     }
   }
--- a/packages/calling/pipelining_test.ts
+++ b/packages/calling/pipelining_test.ts
@@ -68,6 +68,19 @@
   ]);
 });
 
+// Guards against requests that a node has read and drops when it stops, because
+// they wait for earlier ones of their connection.
+test("all requests that were sent ahead are answered in a stop", async () => {
+  const { caller, ran, proxy } = await start((id) => id === "r7" ? 100 : 200);
+  const ids = Array.from({ length: 30 }, (_, index) => `r${index}`);
+  caller.socket.write(ids.map(requestText).join(""));
+  await expect.poll(() => ran.length).toBe(8);
+  proxy.startStop(LATE_STOP);
+  await expect.poll(() => caller.socket.closed, { timeout: 3_000 }).toBe(true);
+  expect(caller.answers.map(({ requestId }) => requestId)).toEqual(ids);
+  expect(caller.answers.findIndex(({ isClosing }) => isClosing)).toBe(29);
+});
+
 // Guards against a malformed request whose error answer takes the place of the
 // answer to an earlier request.
 test("a malformed request is answered behind the requests before it", async () => {
