Leave connections that callers asked to close to Node.js

Change: only where the node chose the close, or the request was not read whole, does the caller send anything more that could reset the connection; elsewhere the connection is destroyed as before.

--- a/packages/calling/_caller_connection.ts
+++ b/packages/calling/_caller_connection.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { Socket } from "node:net";
 import {
   destroyWhenEnded,
   dropIncoming,
@@ -109,7 +109,7 @@
     this.#options = options;
     socket.once("close", () => this.#onClosed());
     // Node.js calls this function behind a closing answer.
-    socket.destroySoon = () => this.#linger();
+    socket.destroySoon = () => this.#destroySoon();
   }
 
   /** Starts the next request of the connection, lets it wait or drops it. */
@@ -158,6 +158,16 @@
     return this.#end(times);
   }
 
+  // A caller that has asked for the close, and whose request was read, sends
+  // nothing more that could reset the connection.
+  #destroySoon(): void {
+    const last = this.#started.at(-1);
+    const isRead = last?.request.complete === true;
+    const isWanted = last?.response.shouldKeepAlive === false;
+    if (isRead && isWanted) Socket.prototype.destroySoon.call(this.#socket);
+    else this.#linger();
+  }
+
   #linger(): void {
     if (this.#hasEnded) return;
     const latestAt = performance.now() + LINGER_MS;
