--- a/packages/sidecar/link_at_stop_test.ts
+++ b/packages/sidecar/link_at_stop_test.ts
@@ -95,3 +95,13 @@
   await server.node.stop();
   expect(performance.now() - startedAt).toBeLessThan(1_000);
 });
+
+test("a peer that never reads its answer does not hold a node beyond its grace", async () => {
+  server.worker.padding = "x".repeat(LARGE_BYTES);
+  sendCall();
+  opened.socket.pause();
+  await expect.poll(runs).toBe(1);
+  const startedAt = performance.now();
+  await server.node.stop();
+  expect(performance.now() - startedAt).toBeLessThan(3_000);
+});
--- a/packages/sidecar/stop_under_load_test.ts
+++ b/packages/sidecar/stop_under_load_test.ts
@@ -92,6 +92,26 @@
   expect(outcomes.filter(({ status }) => status === 0)).toEqual([]);
 });
 
+// Guards against calls that are lost with the link of a node which is started
+// anew, while its worker runs on.
+test("a node that stops beside its worker cuts off no call", async () => {
+  servers.forEach(({ worker }) => worker.holdMs = 1);
+  let isOver = false;
+  const sending = sendUntil(() => isOver);
+  for (const server of servers) {
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    await server.node.stop();
+    await fleet.restart(server);
+    await fleet.sendHeartbeats(server);
+    await expect.poll(() => server.node.isReady).toBe(true);
+  }
+  isOver = true;
+  const outcomes = await sending;
+  expectTrueOutcomes(outcomes);
+  expect(outcomes.filter(({ status }) => ![200, 503].includes(status)))
+    .toEqual([]);
+});
+
 // Guards against requests that come late in a stop, are passed on and are cut off
 // without an answer, among them such that may not be repeated.
 test("a request whose usual time does not fit into a stop is refused", async () => {
