--- a/packages/calling/_caller_connection.ts
+++ b/packages/calling/_caller_connection.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { Socket } from "node:net";
 import {
   destroyWhenEnded,
   dropIncoming,
@@ -19,6 +19,13 @@
  */
 const LINGER_MS = 1_000;
 
+/**
+ * Interval at which a caller that has ended its writing side is asked whether it
+ * still reads, in milliseconds. One that doesn't is known to have left after two
+ * of them, well within the half second in which its requests must end.
+ */
+const PROBE_INTERVAL_MS = 50;
+
 /** HTTP request of a caller and the response to it. */
 export class Exchange {
   readonly request: IncomingMessage;
@@ -61,8 +68,7 @@
 
   /**
    * Whether the answer may close the connection; true if no request that was
-   * started stands behind this one. Those that were not started are then
-   * dropped, and none is started any more.
+   * read stands behind this one. None is then started any more.
    */
   claimClose(): boolean {
     return this.#connection.claimClose(this);
@@ -98,6 +104,7 @@
   /** Whether a closing answer was written or the caller has disconnected. */
   #isClosing = false;
   #hasEnded = false;
+  #probeTimer: NodeJS.Timeout | undefined;
   /** Answer to malformed input, written behind all other answers. */
   #lastAnswer: string | undefined;
 
@@ -109,8 +116,9 @@
     this.#socket = socket;
     this.#options = options;
     socket.once("close", () => this.#onClosed());
+    socket.once("end", () => this.#onCallerEnded());
     // Node.js calls this function behind a closing answer.
-    socket.destroySoon = () => this.#linger();
+    socket.destroySoon = () => this.#destroySoon();
   }
 
   /** Starts the next request of the connection, lets it wait or drops it. */
@@ -122,10 +130,10 @@
 
   /** See {@linkcode Exchange.claimClose}. */
   claimClose(exchange: Exchange): boolean {
-    if (this.#started.at(-1) !== exchange) return false;
-    this.#isClosing = true;
-    this.#waiting.length = 0;
-    return true;
+    const isLast = this.#started.at(-1) === exchange &&
+      this.#waiting.length === 0;
+    if (isLast) this.#isClosing = true;
+    return isLast;
   }
 
   /**
@@ -159,6 +167,16 @@
     return this.#end(times);
   }
 
+  // A caller that has asked for the close, and whose request was read, sends
+  // nothing more that could reset the connection.
+  #destroySoon(): void {
+    const last = this.#started.at(-1);
+    const isRead = last?.request.complete === true;
+    const isWanted = last?.response.shouldKeepAlive === false;
+    if (isRead && isWanted) Socket.prototype.destroySoon.call(this.#socket);
+    else this.#linger();
+  }
+
   #linger(): void {
     if (this.#hasEnded) return;
     const latestAt = performance.now() + LINGER_MS;
@@ -174,6 +192,23 @@
     return destroyWhenEnded(this.#socket, times);
   }
 
+  #onCallerEnded(): void {
+    if (this.#hasEnded || this.#started.length === 0) return;
+    this.#probe();
+    this.#probeTimer = setInterval(() => this.#probe(), PROBE_INTERVAL_MS);
+  }
+
+  // The end of the caller's side looks the same whether it still reads or has
+  // closed the connection. In that case the kernel resets the connection for the
+  // interim answer, and the next one fails.
+  #probe(): void {
+    const current = this.#started[0];
+    if (current === undefined || current.response.headersSent) return;
+    const { request, response } = current;
+    if (request.httpVersion === "1.1") response.writeProcessing();
+    else this.#socket.destroy();
+  }
+
   #startWaiting(): void {
     while (this.#started.length < MAX_CONCURRENT_REQUESTS) {
       const next = this.#waiting.shift();
@@ -185,7 +220,10 @@
         this.#writeLastAnswer();
       });
       // The caller reads nothing behind the answer to such a request.
-      if (!next.response.shouldKeepAlive) this.claimClose(next);
+      if (!next.response.shouldKeepAlive) {
+        this.#waiting.length = 0;
+        this.#isClosing = true;
+      }
       this.#options.start(next);
     }
   }
@@ -207,6 +245,7 @@
   }
 
   #onClosed(): void {
+    clearInterval(this.#probeTimer);
     this.#isClosing = true;
     this.#waiting.length = 0;
     this.#started.splice(0).forEach((exchange) => exchange.end());
