--- a/packages/calling/_answer_writer.ts
+++ b/packages/calling/_answer_writer.ts
@@ -1,5 +1,6 @@
-import { STATUS_CODES } from "node:http";
+import { type IncomingMessage, STATUS_CODES } from "node:http";
 import { ERROR_DETAILS, type ErrorKind } from "@oleanderdeck/errors";
+import type { MemoryAccount, MemoryReservation } from "@oleanderdeck/serving";
 import type { Exchange } from "./_caller_connection.ts";
 import type { CallerRequest, TaskAnswer } from "./call_task.ts";
 import type { CallerProxyObserver } from "./caller_proxy_observer.ts";
@@ -7,6 +8,12 @@
 /** Maximum size of a body that is copied and written with the header lines. */
 const MAX_JOINED_BYTES = 16_384;
 
+/**
+ * Maximum rest of a body, in bytes, that is read behind a refusal to keep its
+ * connection. Behind a longer one the connection closes.
+ */
+const MAX_UNREAD_BYTES = 65_536;
+
 /** Details of a refusal that are known when it is written. */
 export interface RefusalDetails {
   readonly requestId?: string;
@@ -34,11 +41,15 @@
   /** Name of the header field with the identity of a request. */
   readonly requestIdField: string;
   readonly observer: CallerProxyObserver | undefined;
+  /** Account of the memory for answers that wait for a slow caller. */
+  readonly account: MemoryAccount;
 }
 
 /** Writes answers to callers. */
 export class AnswerWriter {
   readonly #options: AnswerWriterOptions;
+  /** Long answers that callers have not taken yet, oldest first. */
+  readonly #waiting = new Map<Exchange, MemoryReservation>();
   #isClosing = false;
   #answered = 0;
   #refused = 0;
@@ -100,7 +111,29 @@
       // Node.js writes a string, but not a buffer, together with the header
       // lines.
       response.end(body.toString("latin1"), "latin1");
-    } else response.end(body);
+    } else {
+      this.#reserve(exchange, body.length);
+      response.end(body);
+    }
+  }
+
+  // Without room the callers that have been reading for longest are cut off. Those
+  // that read at all have finished by then.
+  #reserve(exchange: Exchange, bytes: number): void {
+    const reservation = this.#options.account.open("waiting_answers");
+    exchange.onEnd(() => {
+      reservation.close();
+      this.#waiting.delete(exchange);
+    });
+    while (!reservation.grow(bytes)) {
+      const [oldest] = this.#waiting;
+      if (oldest === undefined) break;
+      const [other, held] = oldest;
+      held.close();
+      this.#waiting.delete(other);
+      other.request.socket.destroy();
+    }
+    this.#waiting.set(exchange, reservation);
   }
 
   /** Answers a request with an error, in place of a worker. */
@@ -140,12 +173,20 @@
   }
 
   #closingLines(exchange: Exchange): string[] {
-    return this.#isClosing && exchange.claimClose()
-      ? ["Connection", "close"]
-      : [];
+    const closes = this.#isClosing || hasLongRest(exchange.request);
+    return closes && exchange.claimClose() ? ["Connection", "close"] : [];
   }
 }
 
+// Whether more of a body may follow than is worth reading.
+function hasLongRest({ complete, headers }: IncomingMessage): boolean {
+  if (complete) return false;
+  const length = headers["content-length"];
+  return length === undefined
+    ? headers["transfer-encoding"] !== undefined
+    : Number(length) > MAX_UNREAD_BYTES;
+}
+
 /** Status of the answer to input on which the HTTP parser fails, by its code. */
 const PARSER_ERROR_STATUSES: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
--- a/packages/calling/_test_proxy.ts
+++ b/packages/calling/_test_proxy.ts
@@ -1,6 +1,10 @@
 import { connect, type Socket } from "node:net";
 import { ConfigurationHolder } from "@oleanderdeck/directory";
-import type { HeaderNames, WorkerResult } from "@oleanderdeck/serving";
+import {
+  type HeaderNames,
+  MemoryAccount,
+  type WorkerResult,
+} from "@oleanderdeck/serving";
 import { CallerProxy } from "./mod.ts";
 import { TestChannel } from "./_test_channel.ts";
 
@@ -48,11 +52,36 @@
   /** Returns the delay of an answer, in milliseconds. */
   readonly delayMs?: (requestId: string) => number;
   readonly pressureOf?: () => number;
+  /** Body of each answer; that of the request if omitted. */
+  readonly answerBody?: Buffer;
+  readonly maxBodyBytes?: number;
+  /** Bytes of bodies that may be held at the same time. */
+  readonly maxHeldBytes?: number;
+}
+
+/** Returns an account with one limit for each holder and the sum, in bytes. */
+export function testAccount(bytes: number): MemoryAccount {
+  return new MemoryAccount(() => ({
+    sums: { requests: bytes, answers: bytes },
+    small: 0,
+    holders: {
+      client_bodies: bytes,
+      peer_calls: bytes,
+      worker_answers: bytes,
+      waiting_answers: bytes,
+    },
+  }));
 }
 
 /** Starts a proxy with one worker, and a caller of it. */
 export async function startProxy(
-  { delayMs = () => 0, pressureOf = () => 0 }: TestProxyOptions = {},
+  {
+    answerBody,
+    delayMs = () => 0,
+    pressureOf = () => 0,
+    maxBodyBytes = 1_000,
+    maxHeldBytes = 100_000,
+  }: TestProxyOptions = {},
 ) {
   const configuration = new ConfigurationHolder();
   configuration.put({
@@ -71,11 +100,12 @@
     services: [],
     limits: {
       maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_000,
+      maxBodyBytes,
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 5_000,
     },
   }, "store");
+  const account = testAccount(maxHeldBytes);
   const channel = new TestChannel("host-1", () => undefined);
   const ran: string[] = [];
   const unexpectedErrors: unknown[] = [];
@@ -86,7 +116,7 @@
       status: 200,
       headers: ["x-signature", "s"],
       isRefusedBelow: false,
-      body: call.body,
+      body: answerBody ?? call.body,
     };
     const delay = delayMs(call.requestId);
     if (delay < Infinity) setTimeout(() => finish(result), delay);
@@ -100,7 +130,7 @@
     channels: () => [channel],
     pressureOf,
     onNestedCall: () => undefined,
-    maxHeldBytes: () => 100_000,
+    account,
     parentRequestOf: () => undefined,
     onRefusedBelow: () => undefined,
     onListenerError: (error) => {
@@ -115,7 +145,16 @@
     caller.socket.destroy();
     proxy.close();
   };
-  return { proxy, caller, channel, ran, unexpectedErrors, close };
+  return {
+    proxy,
+    port,
+    account,
+    caller,
+    channel,
+    ran,
+    unexpectedErrors,
+    close,
+  };
 }
 
 /** Returns a request without a body. */
--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -1,13 +1,14 @@
 import { createServer, type Server } from "node:http";
-import type { Socket } from "node:net";
+import { Server as ListeningServer, type Socket } from "node:net";
 import type {
   CallerLimits,
   ConfigurationHolder,
   Route,
 } from "@oleanderdeck/directory";
-import { listen } from "@oleanderdeck/hop";
+import { type EndTimes, listen } from "@oleanderdeck/hop";
 import {
   type HeaderNames,
+  type MemoryAccount,
   rankOfNested,
   rankOfRoot,
   type WorkerCall,
@@ -42,6 +43,8 @@
  */
 const SHED_RETRY_AFTER_MS = 300;
 
+const EMPTY = Buffer.alloc(0);
+
 /** Limits until the first configuration is known. */
 const INITIAL_LIMITS: CallerLimits = {
   maxHeaderBytes: 65_536,
@@ -67,10 +70,8 @@
   readonly pressureOf: (service: string, route: string) => number;
   /** Called for each call that the worker makes while it runs a request. */
   readonly onNestedCall: (call: NestedCall) => void;
-  /**
-   * Returns the number of bytes of request bodies that may be held in memory.
-   */
-  readonly maxHeldBytes: () => number;
+  /** Account of the memory for bodies, and for answers that wait. */
+  readonly account: MemoryAccount;
   /**
    * Returns the request that the worker on this host runs and that led to the
    * call with the given request identity; undefined if the call begins a chain.
@@ -100,7 +101,7 @@
   #limits = INITIAL_LIMITS;
   /** Moving average of the answer sizes of each service, in bytes. */
   readonly #meanAnswerBytes = new Map<string, number>();
-  readonly #connections = new WeakMap<Socket, CallerConnection>();
+  readonly #connections = new Map<Socket, CallerConnection>();
   readonly #bodies: RequestBodies;
   #unfinishedRequests = 0;
   #lastRequestAt = 0;
@@ -113,22 +114,25 @@
     this.#answerWriter = new AnswerWriter({
       requestIdField: options.names.requestId,
       observer: options.observer,
+      account: options.account,
     });
     this.#bodies = new RequestBodies({
       maxBodyBytes: () => this.#limits.maxBodyBytes,
-      maxHeldBytes: options.maxHeldBytes,
-      refuse: (exchange, error) => this.#answerWriter.refuse(exchange, error),
+      account: options.account,
+      refuse: (exchange, error, details) =>
+        this.#answerWriter.refuse(exchange, error, details),
     });
     this.#server = createServer(
       { maxHeaderSize: INITIAL_LIMITS.maxHeaderBytes, noDelay: true },
       (request, response) =>
-        this.#connectionOf(request.socket).accept(request, response),
+        this.#connections.get(request.socket)?.accept(request, response),
     );
+    this.#server.on("connection", (socket) => this.#accept(socket));
     this.#server.requestTimeout = 0;
     this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
       if (!socket.writable || error.code === "ECONNRESET") {
         socket.destroy();
-      } else this.#connectionOf(socket as Socket).endMalformed(error.code);
+      } else this.#connections.get(socket as Socket)?.endMalformed(error.code);
     });
     this.#applyConfiguration();
     options.configuration.onChange(() => this.#applyConfiguration());
@@ -171,6 +175,21 @@
     this.#stopAdmission.startStop(times);
   }
 
+  /**
+   * Closes the listener, ends all connections at once, and cancels the requests
+   * without an answer.
+   *
+   * @param times Times after which the connections are closed in any case.
+   * @returns Resolves when all connections are closed.
+   */
+  async end(times: EndTimes): Promise<void> {
+    // The method of the HTTP server would destroy the idle connections.
+    ListeningServer.prototype.close.call(this.#server);
+    const connections = [...this.#connections.values()];
+    await Promise.all(connections.map((connection) => connection.end(times)));
+    this.close();
+  }
+
   /** Closes the listener and all connections. */
   close(): void {
     this.#server.close();
@@ -187,15 +206,13 @@
     this.#server.keepAliveTimeout = this.#limits.idleTimeoutMs;
   }
 
-  #connectionOf(socket: Socket): CallerConnection {
-    const known = this.#connections.get(socket);
-    if (known !== undefined) return known;
+  #accept(socket: Socket): void {
     const connection = new CallerConnection(socket, {
       start: (exchange) => this.#guard(exchange, () => this.#handle(exchange)),
+      onClosed: () => this.#connections.delete(socket),
       malformedAnswer,
     });
     this.#connections.set(socket, connection);
-    return connection;
   }
 
   #handle(exchange: Exchange): void {
@@ -219,7 +236,7 @@
         : "no_route";
       return this.#answerWriter.refuse(exchange, error, { requestId });
     }
-    if (header.bodyBytes > this.#limits.maxBodyBytes) {
+    if ((header.bodyBytes ?? 0) > this.#limits.maxBodyBytes) {
       return this.#answerWriter.refuse(exchange, "too_large", {
         requestId,
         service,
@@ -234,14 +251,17 @@
       timeLeft,
     };
     if (!header.hasBody) {
-      return this.#run(exchange, { ...routedHeader, chunks: [] });
+      return this.#run(exchange, { ...routedHeader, body: EMPTY });
     }
+    const { bodyBytes: length } = header;
+    const deadline = exchange.arrivedAt + timeLimitMs(route, timeLeft);
     this.#bodies.read(
       exchange,
-      (chunks) =>
+      { length, deadline },
+      (body) =>
         this.#guard(
           exchange,
-          () => this.#run(exchange, { ...routedHeader, chunks }),
+          () => this.#run(exchange, { ...routedHeader, body }),
         ),
     );
   }
@@ -258,7 +278,7 @@
 
   #run(exchange: Exchange, routed: RoutedRequest): void {
     const { request, arrivedAt } = exchange;
-    const { route, service, requestId, forwarded, timeLeft, chunks } = routed;
+    const { route, service, requestId, forwarded, timeLeft, body } = routed;
     const { names } = this.#options;
     const deadline = arrivedAt + timeLimitMs(route, timeLeft);
     const parent = this.#options.parentRequestOf(requestId);
@@ -292,7 +312,7 @@
       method: request.method ?? "GET",
       target: request.url ?? "/",
       headers: [...forwarded, names.callerService, this.#options.callerService],
-      body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
+      body,
       service,
       isIdempotent: route.isIdempotent,
       maxAttempts: route.maxAttempts,
@@ -379,7 +399,7 @@
   readonly timeLeft: string | undefined;
 }
 
-/** Request with its route, its service and the chunks of its body. */
+/** Request with its route, its service and its body. */
 interface RoutedRequest extends RoutedHeader {
-  readonly chunks: readonly Buffer[];
+  readonly body: Buffer;
 }
