Write a leaving that comes while a node closes

Cause: since a stop waits up to 250 ms for the connections of callers and peers to end, it closed its part of the store before them. A worker's leaving in that time was acknowledged after 300 ms, if the process still ran, and written nowhere. Change: the store is closed behind the connections. Evidence: left_before_restart_test with a caller that keeps its connection half open; before, the record was still there after the stop.

--- a/packages/sidecar/left_before_restart_test.ts
+++ b/packages/sidecar/left_before_restart_test.ts
@@ -1,3 +1,5 @@
+import { once } from "node:events";
+import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import {
@@ -92,6 +94,26 @@
   20_000,
 );
 
+// Guards against the same while the connections of callers are being closed.
+test("a worker that left when its node closes is not forgotten", async () => {
+  const { address, callPort: port } = leaving;
+  const open = connect({ port, host: address, allowHalfOpen: true });
+  await once(open, "connect");
+  const stopped = leaving.node.stop();
+  await once(open.resume(), "end");
+  const left = leaving.node.handleDeregistration(
+    `${leaving.name}-worker`,
+    leaving.startedAt,
+  );
+  await stopped;
+  open.destroy();
+  await left;
+  expect(fleet.store.entries.get(leaving.name)).toMatchObject({
+    record: undefined,
+    departure: { workerId: `${leaving.name}-worker` },
+  });
+});
+
 test("a stop ends in its time if the store stays silent", async () => {
   fleet.store.unreachableNodes.add(leaving.name);
   await leaving.node.handleDeregistration(
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -287,12 +287,13 @@
   async #close(times: StopTimes): Promise<void> {
     clearInterval(this.#checkTimer);
     clearInterval(this.#reportTimer);
-    this.#storeSync.close();
     const endings = endTimes(times);
     await Promise.all([
       this.#callerProxy.end(endings),
       this.#peerServer.end(endings),
     ]);
+    // The worker of this host may leave until the end, and is told that it may.
+    this.#storeSync.close();
     this.#channels.close();
     this.#connections.close();
   }
