Return the memory of large bodies after they are released

10 s after a burst a host still held 151 MB after uploads, 203 after calls with bodies of 1 MB and 355 after 200 slow readers (56 at rest): Node.js collects the memory of released buffers only when the process allocates much more, which an idle one does not, and garbage adds to the peak.

The node collects after 32 MB of released large bodies and answers, and once when it holds none.

--- a/packages/serving/memory_account.ts
+++ b/packages/serving/memory_account.ts
@@ -97,6 +97,7 @@
     waiting_answers: 0,
   };
   readonly #sums: Record<MemorySum, number> = { requests: 0, answers: 0 };
+  #releasedBytes = 0;
   #meanHoldMs = ASSUMED_HOLD_MS;
   /** Waiting reservations, oldest first. */
   #waiters: Waiter[] = [];
@@ -111,6 +112,11 @@
     return this.#sums.requests + this.#sums.answers;
   }
 
+  /** Number of bytes of all large reservations that were released so far. */
+  get releasedBytes(): number {
+    return this.#releasedBytes;
+  }
+
   /** Number of reservations that wait for room. */
   get waiting(): number {
     return this.#waiters.length;
@@ -187,6 +193,7 @@
     const { bytes, heldMs, holder } = reservation;
     this.#add(holder, -bytes);
     if (bytes > SMALL_RESERVATION_BYTES) {
+      this.#releasedBytes += bytes;
       this.#meanHoldMs += HOLD_WEIGHT * (heldMs - this.#meanHoldMs);
     }
     if (this.#waiters.length === 0) return;
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -20,6 +20,7 @@
 import { stopTimes } from "./_stop_times.ts";
 import { FleetRepeatLimit } from "./fleet_repeat_limit.ts";
 import { type FrameSink, PeerStateSync } from "./peer_state_sync.ts";
+import { MemoryReturn } from "./_memory_return.ts";
 import { LocalWorker } from "./local_worker.ts";
 import { LoadReporter } from "./load_reporter.ts";
 import { PeerServer } from "./peer_server.ts";
@@ -84,6 +85,7 @@
   readonly #directory = new WorkerDirectory();
   readonly #configuration = new ConfigurationHolder();
   readonly #account = new MemoryAccount(() => this.#memoryLimits);
+  readonly #memoryReturn = new MemoryReturn(this.#account);
   #memoryLimits: MemoryLimits;
   readonly #worker: LocalWorker;
   readonly #connections: WorkerConnections;
@@ -359,6 +361,7 @@
   #check(): void {
     this.#worker.check(this.#gate.sinceAnswerMs);
     this.#connections.abortOversizedAnswers();
+    this.#memoryReturn.check();
     this.#repeatLimit.updateWorkerCount();
     this.#reporter.update();
     this.#peerServer.check();
