Count the body of a call until the worker has ended it

A lost link released the memory of its calls at once, though a call that may not be cancelled runs on and its body stays held: the account was then below what is held. Only calls that were not run yet are released with the link; the others at their end. The test failed before (0 bytes held in place of 1 MB).

--- a/packages/sidecar/peer_server.ts
+++ b/packages/sidecar/peer_server.ts
@@ -120,9 +120,11 @@
       onClose: () => {
         this.#links.delete(entry);
         entry.callHandles.forEach((callHandle) => callHandle.cancel());
-        [...entry.bodies.values(), ...entry.answers].forEach((reservation) =>
-          reservation.close()
-        );
+        // A call that the worker still runs holds its body until it ends.
+        entry.bodies.forEach((reservation, id) => {
+          if (!entry.callHandles.has(id)) reservation.close();
+        });
+        entry.answers.forEach((reservation) => reservation.close());
       },
     });
     const entry: CallerLink = {
