Let a stop read its sockets and wait for callers from its beginning

Cause: the time without requests counted from before the stop, and a timer that is due runs before the sockets are read. Now it counts from the signal, at least, and each look comes behind a read of the sockets.

--- a/packages/sidecar/node_stop.ts
+++ b/packages/sidecar/node_stop.ts
@@ -9,7 +9,8 @@
 
 /**
  * Time without new root requests, which begin a chain of calls, after which the
- * callers on this host count as gone, in milliseconds.
+ * callers on this host count as gone, in milliseconds. It begins with the stop:
+ * callers that were calm before have not noticed it.
  */
 const CALLERS_IDLE_MS = 600;
 
@@ -80,8 +81,11 @@
     gate.startStop(times);
     worker.withdrawUnused();
     // The worker accepts calls until the callers on this host have left.
+    const leftAt = startedAt + CALLERS_IDLE_MS;
     await waitUntil(
-      () => callerProxy.sinceRootRequestMs >= CALLERS_IDLE_MS,
+      () =>
+        performance.now() >= leftAt &&
+        callerProxy.sinceRootRequestMs >= CALLERS_IDLE_MS,
       times.callersLeaveAt,
     );
     gate.close();
@@ -114,6 +118,11 @@
   }
 }
 
+// Looks after each read of the sockets: a process that was held up finds its timers
+// due before it has read what came in meanwhile.
 async function waitUntil(isOver: () => boolean, end: number): Promise<void> {
-  while (!isOver() && performance.now() < end) await sleep(STOP_POLL_MS);
+  while (!isOver() && performance.now() < end) {
+    await sleep(STOP_POLL_MS);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
 }
