--- a/packages/calling/_caller_connection.ts
+++ b/packages/calling/_caller_connection.ts
@@ -19,13 +19,6 @@
  */
 const LINGER_MS = 1_000;
 
-/**
- * Interval at which a caller that has ended its writing side is asked whether it
- * still reads, in milliseconds. One that doesn't is known to have left after two
- * of them, well within the half second in which its requests must end.
- */
-const PROBE_INTERVAL_MS = 50;
-
 /** HTTP request of a caller and the response to it. */
 export class Exchange {
   readonly request: IncomingMessage;
@@ -104,7 +97,6 @@
   /** Whether a closing answer was written or the caller has disconnected. */
   #isClosing = false;
   #hasEnded = false;
-  #probeTimer: NodeJS.Timeout | undefined;
   /** Answer to malformed input, written behind all other answers. */
   #lastAnswer: string | undefined;
 
@@ -116,7 +108,6 @@
     this.#socket = socket;
     this.#options = options;
     socket.once("close", () => this.#onClosed());
-    socket.once("end", () => this.#onCallerEnded());
     // Node.js calls this function behind a closing answer.
     socket.destroySoon = () => this.#destroySoon();
   }
@@ -192,23 +183,6 @@
     return destroyWhenEnded(this.#socket, times);
   }
 
-  #onCallerEnded(): void {
-    if (this.#hasEnded || this.#started.length === 0) return;
-    this.#probe();
-    this.#probeTimer = setInterval(() => this.#probe(), PROBE_INTERVAL_MS);
-  }
-
-  // The end of the caller's side looks the same whether it still reads or has
-  // closed the connection. In that case the kernel resets the connection for the
-  // interim answer, and the next one fails.
-  #probe(): void {
-    const current = this.#started[0];
-    if (current === undefined || current.response.headersSent) return;
-    const { request, response } = current;
-    if (request.httpVersion === "1.1") response.writeProcessing();
-    else this.#socket.destroy();
-  }
-
   #startWaiting(): void {
     while (this.#started.length < MAX_CONCURRENT_REQUESTS) {
       const next = this.#waiting.shift();
@@ -245,7 +219,6 @@
   }
 
   #onClosed(): void {
-    clearInterval(this.#probeTimer);
     this.#isClosing = true;
     this.#waiting.length = 0;
     this.#started.splice(0).forEach((exchange) => exchange.end());
--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -130,9 +130,6 @@
     );
     this.#server.on("connection", (socket) => this.#accept(socket));
     this.#server.requestTimeout = 0;
-    // Answers are written though the caller has ended its side. Node.js has the
-    // property, its types and its documents don't.
-    Object.assign(this.#server, { httpAllowHalfOpen: true });
     this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
       if (!socket.writable || error.code === "ECONNRESET") {
         socket.destroy();
