Finish the requests under way before recurring errors end the process

The eleventh unexpected error within 60 s ended the process at once, with the requests under way, also while a planned stop was finishing them. The process now begins the planned stop, or joins the one under way, and ends with code 1 at its end, or when the grace is over. Further errors neither shorten the stop nor begin another one; the log tells the reason (`stop_unsound`).

--- a/packages/lifecycle/planned_stop.ts
+++ b/packages/lifecycle/planned_stop.ts
@@ -14,6 +14,11 @@
   readonly log: Pick<EventLog, "write">;
   /** Finishes the work in progress and closes all connections. */
   readonly stop: () => Promise<void>;
+  /**
+   * Returns the time for a stop of an unsound process, in milliseconds; no limit
+   * if omitted. The platform limits one that it asked for itself.
+   */
+  readonly timeLimitMs?: () => number;
   /** Returns what is under way, for the log. */
   readonly workUnderWay?: () => EventFields;
   /** Ends the process; `process.exit` if omitted. */
@@ -21,15 +26,17 @@
 }
 
 /**
- * Ends a program at signals. The first one begins the stop; further ones are
- * counted and logged, and neither shorten the stop nor begin another one. What
- * must not wait for the work in progress sends SIGKILL.
+ * Ends a program at signals, or when it is unsound. The first reason begins the
+ * stop; further ones are logged, and neither shorten the stop nor begin another
+ * one. What must not wait for the work in progress sends SIGKILL.
  */
 export class PlannedStop {
   readonly #options: PlannedStopOptions;
   readonly #counts = new Map<StopSignal, number>();
   #startedAt = 0;
   #ended: Promise<void> | undefined;
+  #isUnsound = false;
+  #hasEnded = false;
 
   /** @param options Log, work to finish and end of the process. */
   constructor(options: PlannedStopOptions) {
@@ -61,27 +68,56 @@
     return this.#ended ??= this.#run(signal);
   }
 
-  async #run(signal: StopSignal): Promise<void> {
+  /**
+   * Asks for the stop because the process is unsound: it ends with an exit code of
+   * a failure, at the time limit at the latest.
+   *
+   * @param reason Reason for the log.
+   * @returns Resolves when the stop has ended, whichever request began it.
+   */
+  fail(reason: string): Promise<void> {
+    const isFirst = this.#ended === undefined;
+    const ended = this.#ended ??= this.#run(reason);
+    if (this.#isUnsound) return ended;
+    this.#isUnsound = true;
+    this.#options.log.write("error", "stop_unsound", {
+      reason,
+      is_first: isFirst,
+      ...this.#options.workUnderWay?.(),
+    });
+    this.#limitTime(reason);
+    return ended;
+  }
+
+  #limitTime(reason: string): void {
+    const limitMs = this.#options.timeLimitMs?.();
+    if (limitMs === undefined) return;
+    const elapsedMs = performance.now() - this.#startedAt;
+    setTimeout(
+      () => this.#end(reason, { fault: "The time for the stop is over" }),
+      limitMs - elapsedMs,
+    ).unref();
+  }
+
+  async #run(reason: string): Promise<void> {
     this.#startedAt = performance.now();
-    const { exit = (code) => process.exit(code), stop } = this.#options;
     try {
-      await stop();
+      await this.#options.stop();
     } catch (error) {
-      this.#logEnd("error", signal, {
+      return this.#end(reason, {
         fault: error instanceof Error ? error.stack : String(error),
       });
-      return exit(EXIT_CODES.failed);
     }
-    this.#logEnd("info", signal, this.#options.workUnderWay?.());
-    exit(EXIT_CODES.stopped);
+    this.#end(reason, this.#options.workUnderWay?.());
   }
 
-  #logEnd(
-    level: "info" | "error",
-    reason: StopSignal,
-    fields: EventFields = {},
-  ): void {
-    this.#options.log.write(level, "process_ending", {
+  #end(reason: string, fields: EventFields = {}): void {
+    if (this.#hasEnded) return;
+    this.#hasEnded = true;
+    const { exit = (code) => process.exit(code), log } = this.#options;
+    const isFailed = this.#isUnsound || "fault" in fields;
+    const code = isFailed ? EXIT_CODES.failed : EXIT_CODES.stopped;
+    log.write(isFailed ? "error" : "info", "process_ending", {
       reason,
       ...Object.fromEntries(
         STOP_SIGNALS.map((name) => [
@@ -89,8 +125,10 @@
           this.#counts.get(name) ?? 0,
         ]),
       ),
+      code,
       elapsed_ms: Math.round(performance.now() - this.#startedAt),
       ...fields,
     });
+    exit(code);
   }
 }
--- a/packages/lifecycle/planned_stop_test.ts
+++ b/packages/lifecycle/planned_stop_test.ts
@@ -19,6 +19,7 @@
         Object.assign(settle, { resolve, reject })
       );
     },
+    timeLimitMs: () => 60,
     exit: (code) => void exits.push(code),
   });
   return { planned, lines, exits, settle, begun: () => begun };
@@ -78,3 +79,35 @@
   expect(exits).toEqual([1]);
   expect(lines.at(-1)?.fields?.["fault"]).toContain("cannot be closed");
 });
+
+const pause = (milliseconds: number) =>
+  new Promise((resolve) => setTimeout(resolve, milliseconds));
+
+// Guards against errors that end the process while requests are in progress.
+test.each([{ signals: [] }, { signals: ["SIGTERM"] }] as const)(
+  "an unsound process ends its work first, after $signals",
+  async ({ signals }) => {
+    const { planned, lines, exits, settle, begun } = makeStop();
+    signals.forEach((signal) => void planned.request(signal));
+    const ended = ["errors", "errors"].map((reason) => planned.fail(reason));
+    await pause(20);
+    expect({ exits, begun: begun() }).toEqual({ exits: [], begun: 1 });
+    settle.resolve();
+    await Promise.all(ended);
+    await pause(60);
+    expect({ exits, begun: begun() }).toEqual({ exits: [1], begun: 1 });
+    expect(lines.slice(signals.length).map(({ event }) => event)).toEqual([
+      "stop_unsound",
+      "process_ending",
+    ]);
+  },
+);
+
+test("an unsound process ends in time though its work doesn't", async () => {
+  const { planned, lines, exits } = makeStop();
+  void planned.fail("errors");
+  await pause(40);
+  expect(exits).toEqual([]);
+  await expect.poll(() => exits).toEqual([1]);
+  expect(lines.at(-1)?.fields).toMatchObject({ reason: "errors", code: 1 });
+});
