Let calls end on the old link when a record changes

A channel was closed with the calls on it when the record of its host named another address or service, though the host may run on: the calls had run and ended with 502. It is retired now, as that of a removed record: the calls in progress end on the old link, and new ones take the new channel.

The new tests failed before: 5 of 5 calls in progress ended with 502 in place of 200, with another address and with another service.

--- a/packages/sidecar/worker_channels.ts
+++ b/packages/sidecar/worker_channels.ts
@@ -35,7 +35,7 @@
 export class WorkerChannels {
   readonly #options: WorkerChannelsOptions;
   readonly #peers = new Map<string, PeerChannel>();
-  /** Channels to workers without a record that finish their last calls. */
+  /** Channels that no record matches any more, which finish their last calls. */
   readonly #retired = new Set<PeerChannel>();
   readonly #statements = new WorkerStatements();
   readonly #subset: WorkerSubset;
@@ -158,8 +158,7 @@
     const record = this.#options.directory.get(node);
     if (channel?.matches(record) !== false) return;
     this.#peers.delete(node);
-    if (record !== undefined) return channel.close();
-    // The worker finishes the calls that it has received before it leaves.
+    // The worker finishes the calls that it has received, also before it leaves.
     this.#retired.add(channel);
     channel.retire();
   }
