Keep names and addresses of the start when settings change

After a SIGHUP with another address for links, a node published the new one with its next record, though it listens on that of its start; with another service or address of the worker it ignored the worker's heartbeats. The settings of the node now keep the names and addresses of the start until it starts again, as `applySettings` says.

The new test failed before: the heartbeat after the change was not taken.

--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -244,7 +244,7 @@
   async kill(host: TestHost): Promise<void> {
     this.store.unreachableNodes.add(host.name);
     const graceMs = KILL_GRACE_MS;
-    host.node.applySettings({ ...this.#settingsOf(host), graceMs });
+    host.node.applySettings({ ...this.settingsOf(host), graceMs });
     await host.node.stop();
     this.store.unreachableNodes.delete(host.name);
   }
@@ -354,11 +354,12 @@
         metrics: this.metrics,
         requests: this.#requests!,
       }),
-      settings: this.#settingsOf(host),
+      settings: this.settingsOf(host),
     });
   }
 
-  #settingsOf(
+  /** Returns the settings with which the node of a host starts. */
+  settingsOf(
     { name, service, worker, callPort, linkPort, dataCentre }: NodeParts,
   ): SidecarSettings {
     return {
--- a/packages/sidecar/changed_record_test.ts
+++ b/packages/sidecar/changed_record_test.ts
@@ -61,3 +61,27 @@
     expect(called.worker.ran.length).toBe(CALLS);
   },
 );
+
+// Guards against a host that publishes an address on which it doesn't listen, or
+// no longer hears its worker, after SIGHUP (incident LOST).
+test("names and addresses stay those of the start when settings change", async () => {
+  const settings = fleet.settingsOf(called);
+  const { host, port } = settings.linkAddress;
+  const before = fleet.store.entries.get("called")!.record!;
+  called.node.applySettings({
+    ...settings,
+    node: "renamed",
+    service: "menus",
+    dataCentre: "wa-b",
+    workerAddress: "127.0.0.1:1",
+    linkAddress: { host, port: port + 1 },
+  });
+  const { statuses } = await startCalls();
+  // A record is written when the slots change.
+  Object.assign(called, { slots: 50 });
+  expect(await fleet.sendHeartbeat(called)).toBe(true);
+  await expect.poll(() => fleet.store.entries.get("called")?.record)
+    .toEqual({ ...before, slots: 50 });
+  expect(await statuses).toEqual(Array(CALLS).fill(200));
+  expect(await book()).toBe(200);
+});
--- a/packages/sidecar/sidecar_node.ts
+++ b/packages/sidecar/sidecar_node.ts
@@ -266,7 +266,23 @@
    * restart only.
    */
   applySettings(settings: SidecarSettings): void {
-    this.#settings = settings;
+    const {
+      node,
+      dataCentre,
+      service,
+      workerAddress,
+      callAddress,
+      linkAddress,
+    } = this.#options.settings;
+    this.#settings = {
+      ...settings,
+      node,
+      dataCentre,
+      service,
+      workerAddress,
+      callAddress,
+      linkAddress,
+    };
     this.#memoryLimits = memoryLimits(settings.memoryMb * 1024 * 1024);
   }
 
