Answer what stands before a CONNECT, and end behind an upgrade

Without a listener for CONNECT, Node.js destroys the connection, and with it the answers to the requests in progress before it, which may have run. CONNECT is now answered with 400 behind them, as malformed input is.

Of a chunk with a request for an upgrade, Node.js drops what follows that request: a second one had no answer until the idle limit. Such a request is now the last one of its connection and says so with `Connection: close`, so that what is dropped is known not to run. The alternative, to serve what follows, would need the parser of Node.js to be put back in place.

The new tests failed before: no answer in place of three behind a CONNECT, and a connection still open 1 s after an upgrade.

--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -1,4 +1,4 @@
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server } from "node:http";
 import { Server as ListeningServer, type Socket } from "node:net";
 import type {
   CallerLimits,
@@ -124,8 +124,15 @@
     });
     this.#server = createServer(
       { maxHeaderSize: INITIAL_LIMITS.maxHeaderBytes, noDelay: true },
-      (request, response) =>
-        this.#connections.get(request.socket)?.accept(request, response),
+      (request, response) => {
+        // Node.js drops what has arrived behind a request for an upgrade.
+        if (asksForUpgrade(request)) response.shouldKeepAlive = false;
+        this.#connections.get(request.socket)?.accept(request, response);
+      },
+    );
+    this.#server.on(
+      "connect",
+      (_request, socket) => this.#refuseTunnel(socket as Socket),
     );
     this.#server.on("connection", (socket) => this.#accept(socket));
     this.#server.requestTimeout = 0;
@@ -215,6 +222,14 @@
     this.#connections.set(socket, connection);
   }
 
+  // Node.js has taken its own listeners off the socket.
+  #refuseTunnel(socket: Socket): void {
+    socket.on("error", () => socket.destroy());
+    socket.on("end", () => socket.end());
+    socket.resume();
+    this.#connections.get(socket)?.endMalformed("CONNECT");
+  }
+
   #handle(exchange: Exchange): void {
     const { request, response } = exchange;
     this.#unfinishedRequests++;
@@ -380,6 +395,11 @@
   }
 }
 
+function asksForUpgrade({ headers }: IncomingMessage): boolean {
+  return headers.upgrade !== undefined &&
+    /\bupgrade\b/i.test(headers.connection ?? "");
+}
+
 // Whether the request, or a call that it led to, was refused as not run.
 function isRefused(result: TaskResult): boolean {
   return result.kind === "answer"
--- a/packages/calling/pipelining_test.ts
+++ b/packages/calling/pipelining_test.ts
@@ -97,6 +97,53 @@
   ]);
 });
 
+const CONNECT = "CONNECT test.example:1 HTTP/1.1\r\nhost: test.example\r\n\r\n";
+
+// Guards against a request in progress that is lost because its caller sends a
+// CONNECT behind it (incident LOST).
+test("a CONNECT is answered behind the requests before it", async () => {
+  const { caller, ran } = await start(() => 100);
+  caller.socket.write(
+    requestText("r0") + requestText("r1") + CONNECT + requestText("r2"),
+  );
+  await expect.poll(() => caller.socket.readableEnded).toBe(true);
+  expect(ran).toEqual(["r0", "r1"]);
+  expect(caller.answers).toMatchObject([
+    { status: 200, requestId: "r0" },
+    { status: 200, requestId: "r1" },
+    { status: 400, requestId: undefined, isClosing: true },
+  ]);
+});
+
+test.each(["destroy", "resetAndDestroy"] as const)(
+  "a caller that leaves behind a CONNECT ends its requests by %s",
+  async (leave) => {
+    const { caller, channel, proxy, ran } = await start(() => Infinity);
+    caller.socket.write(requestText("r0") + CONNECT);
+    await expect.poll(() => ran).toEqual(["r0"]);
+    caller.socket[leave]();
+    await expect.poll(() => proxy.unfinishedRequests).toBe(0);
+    expect(channel.cancelled).toEqual(["r0"]);
+  },
+);
+
+// Guards against a request without an answer until the idle limit: Node.js drops
+// what arrives together with a request for an upgrade.
+test("a request for an upgrade is the last one of its connection", async () => {
+  const { caller, ran } = await start(() => 100);
+  const upgrade = requestText("r1").replace(
+    "\r\n\r\n",
+    "\r\nconnection: upgrade\r\nupgrade: h2c\r\n\r\n",
+  );
+  caller.socket.write(requestText("r0") + upgrade + requestText("r2"));
+  await expect.poll(() => caller.socket.readableEnded).toBe(true);
+  expect(ran).toEqual(["r0", "r1"]);
+  expect(caller.answers).toMatchObject([
+    { status: 200, requestId: "r0", isClosing: false },
+    { status: 200, requestId: "r1", isClosing: true },
+  ]);
+});
+
 // Guards against requests that count as unfinished for ever, which holds up a
 // stop, and whose workers go on, because Node.js reports no end of an answer
 // that waits behind another one.
