Keep a link that is busy with its own bytes

A link counted as silent when it received nothing for 2.2 s, though a ping may wait for longer behind the bytes of large calls or answers, in the process or in the kernels of both sides. All calls on it were lost, with 502 for requests that had run.

- the time of a ping begins when it has left the process;
- bytes that wait and leave the process count as life;
- a side that receives much, or part of a frame, between two checks and has sent nothing itself sends a ping, so that the sender hears of it.

A silent peer takes no bytes for long, so it is found within the same bounds, also while bytes wait for it (new test).

--- a/packages/hop/frame_codec.ts
+++ b/packages/hop/frame_codec.ts
@@ -331,6 +331,11 @@
     return this.#bufferedBytes + (this.#body?.block ? this.#body.received : 0);
   }
 
+  /** Whether the last frame is incomplete, also if its body is thrown away. */
+  get isWithinFrame(): boolean {
+    return this.#bufferedBytes > 0 || this.#body !== undefined;
+  }
+
   /**
    * Adds received bytes.
    *
--- a/packages/hop/link.ts
+++ b/packages/hop/link.ts
@@ -34,6 +34,13 @@
  */
 const CLOSE_AFTER_SILENCE_MS = 2_200;
 
+/**
+ * Received bytes between two checks, without a frame sent, at which the peer gets
+ * a sign of life, since a ping of its own may wait behind them. Two sides without
+ * calls exchange less.
+ */
+const SIGN_AFTER_BYTES = 4_096;
+
 /** Size of the read buffer in bytes. */
 const READ_BUFFER_BYTES = 65_536;
 
@@ -101,7 +108,21 @@
   #onWritten: (() => void)[] = [];
   #lastReceived = performance.now();
   #lastChecked = performance.now();
+  /**
+   * Time at which the ping without an answer has left the process, or was sent if
+   * it still waits.
+   */
   #pingedAt: number | undefined;
+  /** Time at which bytes that waited were last seen to leave the process. */
+  #lastProgress = 0;
+  /** Bytes that had left the process at the last check. */
+  #leftBytes = 0;
+  /** Whether bytes waited in the process at the last check. */
+  #wasWaiting = false;
+  /** Bytes received since the last check. */
+  #receivedBytes = 0;
+  /** Whether a frame was sent since the last check. */
+  #hasSent = false;
   /** Pings that the peer has not answered. */
   #unansweredPings = 0;
   /** Whether the link closes as soon as the peer has answered all pings. */
@@ -137,11 +158,12 @@
 
   /**
    * Whether, at the last check, a ping had been unanswered for longer than
-   * {@linkcode SUSPECT_AFTER_MS}.
+   * {@linkcode SUSPECT_AFTER_MS}, in which no bytes had left the process either.
    */
   get isSuspect(): boolean {
-    return this.#pingedAt !== undefined &&
-      this.#lastChecked - this.#pingedAt > SUSPECT_AFTER_MS;
+    if (this.#pingedAt === undefined) return false;
+    const since = Math.max(this.#pingedAt, this.#lastProgress);
+    return this.#lastChecked - since > SUSPECT_AFTER_MS;
   }
 
   /**
@@ -154,6 +176,7 @@
    */
   send(frame: Frame, onWritten?: () => void): void {
     if (this.#isClosed || this.#hasEnded) return;
+    this.#hasSent = true;
     if (onWritten !== undefined) this.#onWritten.push(onWritten);
     if (this.#unwritten.length === 0) setImmediate(() => this.#flush());
     this.#unwritten.push(...this.#encoder.encode(frame));
@@ -190,8 +213,8 @@
 
   /**
    * Pings a peer that has sent nothing for some time, and closes the link if the
-   * peer remains silent. The owner calls this method several times per second,
-   * with one timer for all links.
+   * peer remains silent and no bytes that wait for it leave the process. The owner
+   * calls this method several times per second, with one timer for all links.
    *
    * @param isWaiting Whether the owner waits for a frame of the peer.
    */
@@ -200,19 +223,45 @@
     const wasStalled = now - this.#lastChecked > STALLED_AFTER_MS;
     this.#lastChecked = now;
     if (wasStalled) this.#pingedAt = undefined;
+    this.#checkProgress(now);
     const silentMs = now - this.#lastReceived;
+    const lifelessMs = Math.min(silentMs, now - this.#lastProgress);
     const pingAfter = isWaiting ? PING_WAITING_AFTER_MS : PING_IDLE_AFTER_MS;
-    if (silentMs > CLOSE_AFTER_SILENCE_MS && !wasStalled) {
+    if (lifelessMs > CLOSE_AFTER_SILENCE_MS && !wasStalled) {
       this.close("no bytes from the peer");
     } else if (silentMs > pingAfter && this.#pingedAt === undefined) {
       this.#pingedAt = now;
-      this.#ping();
+      this.#ping(() => {
+        if (this.#pingedAt !== undefined) this.#pingedAt = performance.now();
+      });
     }
+    this.#giveSign();
+  }
+
+  // The system takes bytes also while the peer is silent, but not for long.
+  #checkProgress(now: number): void {
+    const { bytesWritten, writableLength } = this.#socket;
+    const leftBytes = bytesWritten - writableLength;
+    const isWaiting = writableLength > 0;
+    const hasProgress = leftBytes > this.#leftBytes;
+    if (hasProgress && (isWaiting || this.#wasWaiting)) {
+      this.#lastProgress = now;
+    }
+    this.#leftBytes = leftBytes;
+    this.#wasWaiting = isWaiting;
+  }
+
+  #giveSign(): void {
+    const isReceiving = this.#receivedBytes > SIGN_AFTER_BYTES ||
+      this.#receivedBytes > 0 && this.#decoder.isWithinFrame;
+    if (isReceiving && !this.#hasSent) this.#ping();
+    this.#receivedBytes = 0;
+    this.#hasSent = false;
   }
 
-  #ping(): void {
+  #ping(onWritten?: () => void): void {
     this.#unansweredPings++;
-    this.send({ kind: "ping" });
+    this.send({ kind: "ping" }, onWritten);
   }
 
   #receivePong(): void {
@@ -245,6 +294,7 @@
 
   #receive(chunk: Buffer): void {
     this.#lastReceived = performance.now();
+    this.#receivedBytes += chunk.length;
     this.#pingedAt = undefined;
     // An error ends this link only, and the peer opens a new one.
     try {
--- a/packages/hop/link_test.ts
+++ b/packages/hop/link_test.ts
@@ -103,3 +103,76 @@
   expect(performance.now() - startedAt).toBeLessThan(600);
   expect(near.link.isClosed).toBe(true);
 });
+
+/** Interval of the checks of links, in milliseconds. */
+const CHECK_INTERVAL_MS = 250;
+
+/** Time after which a silent peer has been found, in milliseconds. */
+const SILENCE_FOUND_MS = 3_000;
+
+/** Checks links as their owners do. */
+function checkRegularly(...links: readonly Link[]): void {
+  const timer = setInterval(
+    () => links.forEach((link) => link.check(true)),
+    CHECK_INTERVAL_MS,
+  );
+  closers.push(() => clearInterval(timer));
+}
+
+/** Lets a socket read no more than some bytes a second. */
+function throttle(socket: Socket, bytesPerSecond: number): void {
+  socket.on("data", ({ length }: Buffer) => {
+    socket.pause();
+    setTimeout(() => socket.resume(), length / bytesPerSecond * 1_000);
+  });
+}
+
+// Guards against calls that are lost because a link takes long for its own bytes,
+// which wait in the process or in the kernels of both sides (incident LOST).
+test.each([
+  { bytes: 1_000_000, bytesPerSecond: 200_000 },
+  { bytes: 20_000_000, bytesPerSecond: 4_000_000 },
+])(
+  "a link that takes $bytes bytes slowly stays open",
+  async ({ bytes, bytesPerSecond }) => {
+    // The accepted side reads a stream, which can be throttled.
+    const { near: far, far: near } = await linkPair();
+    throttle(far.socket, bytesPerSecond);
+    checkRegularly(near.link, far.link);
+    near.link.send({ kind: "configuration", body: Buffer.alloc(bytes) });
+    near.link.send({ kind: "cancel", id: 1 });
+    await expect.poll(() => near.link.isClosed || far.frames.length === 2, {
+      timeout: 10_000,
+    }).toBe(true);
+    expect(near.link.isClosed).toBe(false);
+    expect(far.frames.map(({ kind }) => kind)).toEqual([
+      "configuration",
+      "cancel",
+    ]);
+  },
+  20_000,
+);
+
+// Guards against bytes that wait and keep a link alive though its peer is silent.
+test("a silent peer of a link with bytes that wait is found in time", async () => {
+  const { near, far } = await linkPair();
+  far.socket.pause();
+  checkRegularly(near.link);
+  near.link.send(LARGE);
+  await pause(4 * CHECK_INTERVAL_MS);
+  expect(near.link.isSuspect).toBe(true);
+  await pause(SILENCE_FOUND_MS - 4 * CHECK_INTERVAL_MS);
+  expect(near.link.isClosed).toBe(true);
+});
+
+test("links without calls exchange few signs of life", async () => {
+  const { near, far } = await linkPair();
+  const bytesRead = () => near.socket.bytesRead + far.socket.bytesRead;
+  checkRegularly(near.link, far.link);
+  near.link.send(LARGE);
+  await expect.poll(() => far.frames.length).toBe(1);
+  await pause(CHECK_INTERVAL_MS);
+  const before = bytesRead();
+  await pause(4 * CHECK_INTERVAL_MS);
+  expect(bytesRead() - before).toBeLessThan(200);
+});
--- a/packages/sidecar/_link_proxy.ts
+++ b/packages/sidecar/_link_proxy.ts
@@ -8,11 +8,14 @@
 
 /**
  * Relay in front of a node's address for links. A test may delay all bytes and
- * ends, or stop all bytes of the open connections without closing them.
+ * ends, take them slowly, or stop all bytes of the open connections without closing
+ * them.
  */
 export class LinkProxy {
   /** Time that bytes and ends of a connection take, in milliseconds. */
   delayMs = 0;
+  /** Bytes that each direction of a connection takes in a second. */
+  bytesPerSecond = Infinity;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   readonly #silent = new WeakSet<Socket>();
@@ -49,6 +52,12 @@
     this.#sockets.forEach((socket) => socket.destroy());
   }
 
+  #holdUp(from: Socket, bytes: number): void {
+    if (this.bytesPerSecond === Infinity) return;
+    from.pause();
+    setTimeout(() => from.resume(), bytes / this.bytesPerSecond * 1_000);
+  }
+
   #relay(from: Socket, to: Socket): void {
     this.#sockets.add(from);
     const relay = (action: () => void) => {
@@ -57,7 +66,10 @@
       setTimeout(action, this.delayMs);
     };
     from.setNoDelay(true);
-    from.on("data", (bytes) => relay(() => to.writable && to.write(bytes)));
+    from.on("data", (bytes) => {
+      relay(() => to.writable && to.write(bytes));
+      this.#holdUp(from, bytes.length);
+    });
     from.on("end", () => relay(() => to.end()));
     from.on("error", () => from.destroy());
     from.on("close", () => {
