--- a/packages/sidecar/_memory_return.ts
+++ b/packages/sidecar/_memory_return.ts
@@ -9,27 +9,41 @@
 /** Released bytes below which a process that holds nothing is left alone. */
 const MIN_RELEASED_BYTES = 4_194_304;
 
+/**
+ * Shortest time between two collections, in milliseconds: each holds the process
+ * up for some tens of milliseconds.
+ */
+const MIN_INTERVAL_MS = 2_000;
+
 /**
  * Returns the memory of released bodies to the system. Node.js would keep it until
  * the process allocates much more, which an idle one does not.
  */
 export class MemoryReturn {
   readonly #account: MemoryAccount;
-  #collectedAt = 0;
+  readonly #now: () => number;
+  #collectedBytes = 0;
+  #collectedAt = -Infinity;
 
-  /** @param account Account whose released bytes are returned. */
-  constructor(account: MemoryAccount) {
+  /**
+   * @param account Account whose released bytes are returned.
+   * @param now Returns monotonic time in milliseconds.
+   */
+  constructor(account: MemoryAccount, now = () => performance.now()) {
     this.#account = account;
+    this.#now = now;
   }
 
   /** Collects released bytes if they are many. Called a few times a second. */
   check(): void {
     const { heldBytes, releasedBytes } = this.#account;
-    const uncollected = releasedBytes - this.#collectedAt;
+    const uncollected = releasedBytes - this.#collectedBytes;
+    const now = this.#now();
     const isDue = uncollected > MAX_RELEASED_BYTES ||
       heldBytes === 0 && uncollected > MIN_RELEASED_BYTES;
-    if (!isDue) return;
-    this.#collectedAt = releasedBytes;
+    if (!isDue || now - this.#collectedAt < MIN_INTERVAL_MS) return;
+    this.#collectedBytes = releasedBytes;
+    this.#collectedAt = now;
     // Only with the option --expose-gc, as in the deploy file.
     globalThis.gc?.();
   }
--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -358,7 +358,7 @@
     });
   }
 
-  /** Returns the settings of the node of a host. */
+  /** Returns the settings with which the node of a host starts. */
   settingsOf(
     { name, service, worker, callPort, linkPort, dataCentre }: NodeParts,
   ): SidecarSettings {
--- a/packages/sidecar/memory_return_test.ts
+++ b/packages/sidecar/memory_return_test.ts
@@ -12,7 +12,8 @@
   const collect = vi.fn();
   vi.stubGlobal("gc", collect);
   const account = new MemoryAccount(() => memoryLimits(350 * MEGABYTE));
-  const memoryReturn = new MemoryReturn(account);
+  let time = 0;
+  const memoryReturn = new MemoryReturn(account, () => time);
   const hold = (bytes: number) => {
     const reservation = account.open("client_bodies");
     expect(reservation.grow(bytes)).toBe(true);
@@ -31,6 +32,10 @@
   hold(5 * MEGABYTE).close();
   others.close();
   memoryReturn.check();
+  // Each collection holds the process up.
+  expect(collect).toHaveBeenCalledTimes(1);
+  time += 2_000;
+  memoryReturn.check();
   memoryReturn.check();
   expect(collect).toHaveBeenCalledTimes(2);
 });
