--- a/bench/memory_loads.mjs
+++ b/bench/memory_loads.mjs
@@ -2,8 +2,10 @@
  * Resident memory of the nodes under loads that fill it, on real processes. Run by
  * hand, after `node scripts/build_platform.mjs`:
  *
- *   node bench/memory_loads.mjs uploads,readers,calls,floods,chunks 350
+ *   node bench/memory_loads.mjs uploads,readers,calls 350
+ *   node bench/memory_loads.mjs floods,chunks,usual 350
  */
+import { readFileSync, writeFileSync } from "node:fs";
 import { connect } from "node:net";
 import { createServer } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -208,6 +210,15 @@
       await sleep(20);
     }
   },
+  /** Small requests only, for the processor time that they take. */
+  async usual({ clients }) {
+    const loads = clients.flatMap(({ small, photographs }) => [
+      startLoad(() => small.read(), 10),
+      startLoad(() => photographs.upload(), 20),
+    ]);
+    await sleep(LOAD_MS);
+    await Promise.all(loads.map((end) => end()));
+  },
   async chunks({ fleet, sockets }) {
     fleet.hosts.slice(0, 2).forEach((host) => {
       for (let count = 0; count < 4; count++) {
@@ -218,6 +229,13 @@
   },
 };
 
+/** Processor time of a process in seconds. */
+function processorSeconds({ child }) {
+  if (child === undefined) return 0;
+  const fields = readFileSync(`/proc/${child.pid}/stat`, "utf8").split(" ");
+  return (Number(fields[13]) + Number(fields[14])) / 100;
+}
+
 function prepare(fleet, load) {
   if (load === "readers") replaceWorker(fleet, 4, answerMegabytes(4));
   if (load === "floods") replaceWorker(fleet, 4, floodHeadOrBody);
@@ -225,8 +243,7 @@
 }
 
 async function measure(load, memoryMb, { record, makeFleet }) {
-  const { readFileSync, writeFileSync } = await import("node:fs");
-  // One host of each service, so that all the load meets at it.
+  // The calls of `calls` and the answers of others meet at one host.
   const hosts = uploadHosts({ readMs: 20 });
   const fleet = await makeFleet(
     hosts.map((host, index) =>
@@ -245,10 +262,14 @@
   const clients = fleet.hosts.slice(0, 2).map((host) => ({
     small: new HostClients(host, { record, photographMb: 1 }),
     megabyte: new HostClients(host, { record, photographMb: 1 }),
-    photographs: new HostClients(host, { record, photographMb: 60 }),
+    photographs: new HostClients(host, {
+      record,
+      photographMb: load === "usual" ? 4 / 1024 : 60,
+    }),
   }));
   const resident = () => fleet.hosts.map((host) => host.residentMb());
   const rest = resident();
+  const secondsBefore = fleet.hosts.map(processorSeconds);
   const peak = [...rest];
   const timer = setInterval(
     () =>
@@ -261,6 +282,10 @@
   const sockets = [];
   await LOADS[load]({ clients, fleet, sockets });
   sockets.forEach((socket) => socket.destroy());
+  const seconds = fleet.hosts.reduce(
+    (sum, host, index) => sum + processorSeconds(host) - secondsBefore[index],
+    0,
+  );
   const outcomes = (await Promise.all(reads.map((end) => end()))).flat();
   await sleep(CALM_MS);
   clearInterval(timer);
@@ -271,7 +296,8 @@
   record.show(
     `${load} ${memoryMb} MB: rest ${most(rest)}, peak ${most(peak)} ` +
       `(${peak.map(Math.round).join(", ")}), 10 s later ${most(after)}, ` +
-      `small reads ${served} of ${outcomes.length}, ends ${ends}`,
+      `small reads ${served} of ${outcomes.length}, ends ${ends}, ` +
+      `processor time ${seconds.toFixed(2)} s`,
   );
   clients.flatMap(Object.values).forEach((client) => client.close());
   await fleet.close();
