Leave time for the end of the process at the end of a stop

Cause: the reserve of 250 ms was used up by the connections (150 ms) and the log (100 ms). The kills of the tests keep their close after 600 ms.

--- a/packages/sidecar/_stop_times.ts
+++ b/packages/sidecar/_stop_times.ts
@@ -13,8 +13,15 @@
 /** Share of the time for a stop after which new root requests are refused. */
 const REFUSE_NEW_AFTER_SHARE = 0.5;
 
-/** Time at the end of a stop that is reserved for closing, in milliseconds. */
-const CLOSE_RESERVE_MS = 250;
+/**
+ * Time at the end of a stop that is reserved for closing, in milliseconds: that of
+ * the connections, then up to 100 ms in which the log leaves, and as much for the
+ * end of the process, which may be held up.
+ */
+const CLOSE_RESERVE_MS = 350;
+
+/** Share of the time for a stop from which on work may be given up, at the end. */
+const GIVE_UP_SHARE = 1 / 6;
 
 /**
  * Time that callers and peers get to close a connection after its last bytes were
@@ -39,7 +46,8 @@
     callersLeaveAt: now +
       Math.min(CALLERS_LEAVE_TIMEOUT_MS, graceMs * CALLERS_LEAVE_SHARE),
     refusesAllAt: now + graceMs * REFUSE_NEW_AFTER_SHARE,
-    closesAt: now + graceMs - CLOSE_RESERVE_MS,
+    closesAt: now + graceMs -
+      Math.min(CLOSE_RESERVE_MS, graceMs * GIVE_UP_SHARE),
   };
 }
 
--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -148,7 +148,7 @@
  * A node takes workers that started in the last second before it for heard, and
  * those of the tests start shortly before a kill.
  */
-const KILL_GRACE_MS = 850;
+const KILL_GRACE_MS = 720;
 
 /** Part of a host by which a node is started on it. */
 type NodeParts = Omit<
