Claim the close of a connection only for its next answer

Cause: the answer of the fast one claimed the close when it was made, though it waited behind the slow one. Now all earlier answers must have been made. The new test of pipelining_test failed before: two answers of three.

--- a/packages/calling/_caller_connection.ts
+++ b/packages/calling/_caller_connection.ts
@@ -60,8 +60,9 @@
   }
 
   /**
-   * Whether the answer may close the connection; true if no request that was
-   * read stands behind this one. None is then started any more.
+   * Whether the answer may close the connection; true if all earlier ones are made
+   * and no request that was read stands behind this one. None is then started any
+   * more.
    */
   claimClose(): boolean {
     return this.#connection.claimClose(this);
@@ -123,8 +124,13 @@
   claimClose(exchange: Exchange): boolean {
     const isLast = this.#started.at(-1) === exchange &&
       this.#waiting.length === 0;
-    if (isLast) this.#isClosing = true;
-    return isLast;
+    // Behind an answer that is not made yet, the close would come late, and what
+    // arrives until then would be dropped.
+    const isNext = this.#started.every((started) =>
+      started === exchange || started.response.writableEnded
+    );
+    if (isLast && isNext) this.#isClosing = true;
+    return isLast && isNext;
   }
 
   /**
--- a/packages/calling/pipelining_test.ts
+++ b/packages/calling/pipelining_test.ts
@@ -81,6 +81,20 @@
   expect(caller.answers.findIndex(({ isClosing }) => isClosing)).toBe(29);
 });
 
+// Guards against a request that is read and dropped, because a later answer of its
+// connection has claimed the close while an earlier one is not made yet.
+test("a request behind a slow one and a fast one is answered in a stop", async () => {
+  const { caller, ran, proxy } = await start((id) => id === "r0" ? 600 : 60);
+  caller.socket.write(["r0", "r1"].map(requestText).join(""));
+  await expect.poll(() => ran.length).toBe(2);
+  proxy.startStop(LATE_STOP);
+  await pause(150);
+  caller.socket.write(requestText("r2"));
+  await expect.poll(() => caller.answers.length, { timeout: 3_000 }).toBe(3);
+  expect(caller.answers.map(({ requestId }) => requestId))
+    .toEqual(["r0", "r1", "r2"]);
+});
+
 // Guards against a malformed request whose error answer takes the place of the
 // answer to an earlier request.
 test("a malformed request is answered behind the requests before it", async () => {
