--- a/packages/sidecar/_link_proxy.ts
+++ b/packages/sidecar/_link_proxy.ts
@@ -4,6 +4,11 @@
   RecordListing,
   WorkerRecord,
 } from "@oleanderdeck/directory";
+import {
+  TestFleet,
+  type TestFleetOptions,
+  type TestHost,
+} from "./_test_fleet.ts";
 import { type TestStore, TestStoreClient } from "./_test_store.ts";
 
 /**
@@ -80,7 +85,7 @@
 }
 
 /** Client of the store that names the proxies in place of the nodes. */
-export class ProxiedStoreClient extends TestStoreClient {
+class ProxiedStoreClient extends TestStoreClient {
   readonly #addresses: ReadonlyMap<string, string>;
 
   constructor(
@@ -125,3 +130,50 @@
     };
   }
 }
+
+/** Fleet whose nodes reach each other through relays. */
+export interface ProxiedFleet {
+  readonly fleet: TestFleet;
+  /** Relays in front of the nodes, in the order in which these were added. */
+  readonly proxies: readonly LinkProxy[];
+  /**
+   * Adds a host with a relay. The relay is known before another node that is added
+   * later reads the record of the host.
+   */
+  readonly add: (
+    name: string,
+    service: string,
+    options: { readonly delayMs?: number; readonly slots?: number },
+  ) => Promise<TestHost>;
+  /** Stops all nodes and relays. */
+  readonly close: () => Promise<void>;
+}
+
+/** Makes a fleet without hosts whose nodes reach each other through relays. */
+export function makeProxiedFleet(
+  options: Omit<TestFleetOptions, "storeOf"> = {},
+): ProxiedFleet {
+  const addresses = new Map<string, string>();
+  const proxies: LinkProxy[] = [];
+  const fleet = new TestFleet({
+    ...options,
+    storeOf: (node) => new ProxiedStoreClient(fleet.store, node, addresses),
+  });
+  return {
+    fleet,
+    proxies,
+    add: async (name, service, { delayMs = 0, slots = 4 }) => {
+      const host = await fleet.add(name, service, { slots });
+      const proxy = new LinkProxy(host.address, host.linkPort);
+      proxy.delayMs = delayMs;
+      const port = await proxy.listen(host.address);
+      addresses.set(name, `${host.address}:${port}`);
+      proxies.push(proxy);
+      return host;
+    },
+    close: async () => {
+      await fleet.close();
+      proxies.forEach((proxy) => proxy.close());
+    },
+  };
+}
--- a/packages/sidecar/calls_on_the_way_at_stop_test.ts
+++ b/packages/sidecar/calls_on_the_way_at_stop_test.ts
@@ -1,7 +1,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { LinkProxy, ProxiedStoreClient } from "./_link_proxy.ts";
-import { START_TIMEOUT_MS, TestFleet, type TestHost } from "./_test_fleet.ts";
+import { makeProxiedFleet, type ProxiedFleet } from "./_link_proxy.ts";
+import {
+  START_TIMEOUT_MS,
+  type TestFleet,
+  type TestHost,
+} from "./_test_fleet.ts";
 
 /** Time that bytes take between two hosts, in milliseconds. */
 const ONE_WAY_MS = 20;
@@ -15,30 +19,19 @@
 /** Time after the stop for which requests go on, in milliseconds. */
 const AFTER_STOP_MS = 300;
 
+let proxied: ProxiedFleet;
 let fleet: TestFleet;
-let proxies: LinkProxy[];
 let caller: TestHost;
 let workers: readonly TestHost[];
 beforeEach(async () => {
-  const addresses = new Map<string, string>();
-  proxies = [];
-  fleet = new TestFleet({
-    storeOf: (node) => new ProxiedStoreClient(fleet.store, node, addresses),
-  });
+  proxied = makeProxiedFleet();
+  fleet = proxied.fleet;
   fleet.configure(1, [{
     shares: [{ service: "members", weight: 1 }],
     isIdempotent: false,
   }]);
-  const add = async (name: string, service: string) => {
-    const host = await fleet.add(name, service, { slots: 40 });
-    const proxy = new LinkProxy(host.address, host.linkPort);
-    proxy.delayMs = ONE_WAY_MS;
-    const port = await proxy.listen(host.address);
-    addresses.set(name, `${host.address}:${port}`);
-    proxies.push(proxy);
-    return host;
-  };
-  // The addresses are known before another node reads the record.
+  const add = (name: string, service: string) =>
+    proxied.add(name, service, { delayMs: ONE_WAY_MS, slots: 40 });
   workers = [await add("one", "members"), await add("two", "members")];
   caller = await add("caller", "menus");
   await expect.poll(async () => {
@@ -46,10 +39,7 @@
     return workers.every(({ worker }) => worker.ran.length > 0);
   }, { timeout: START_TIMEOUT_MS }).toBe(true);
 });
-afterEach(async () => {
-  await fleet.close();
-  proxies.forEach((proxy) => proxy.close());
-});
+afterEach(() => proxied.close());
 
 // Guards against calls that are on their way when a node that stops closes its
 // links, whose callers then cannot know whether they ran (incident LOST).
@@ -75,7 +65,7 @@
 });
 
 test("a peer that is silent does not keep a stop from its end", async () => {
-  proxies.forEach((proxy) => proxy.silence());
+  proxied.proxies.forEach((proxy) => proxy.silence());
   const startedAt = performance.now();
   await workers[0]!.node.stop();
   expect(performance.now() - startedAt).toBeLessThan(GRACE_MS);
--- a/packages/sidecar/silent_links_test.ts
+++ b/packages/sidecar/silent_links_test.ts
@@ -1,7 +1,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { LinkProxy, ProxiedStoreClient } from "./_link_proxy.ts";
-import { START_TIMEOUT_MS, TestFleet, type TestHost } from "./_test_fleet.ts";
+import { makeProxiedFleet, type ProxiedFleet } from "./_link_proxy.ts";
+import {
+  START_TIMEOUT_MS,
+  type TestFleet,
+  type TestHost,
+} from "./_test_fleet.ts";
 
 /** Time after the last disturbance for which nodes may lag, in milliseconds. */
 const STABILITY_WINDOW_MS = 3_000;
@@ -18,8 +22,8 @@
 /** Calls at the moment when the links go silent. */
 const CALLS = 30;
 
+let proxied: ProxiedFleet;
 let fleet: TestFleet;
-let proxies: LinkProxy[];
 let caller: TestHost;
 let workers: readonly TestHost[];
 let heartbeats: NodeJS.Timeout;
@@ -27,23 +31,14 @@
 const booking = { ...members, pathPrefix: "/booking/", isIdempotent: false };
 
 beforeEach(async () => {
-  const addresses = new Map<string, string>();
-  proxies = [];
-  fleet = new TestFleet({
+  proxied = makeProxiedFleet({
     // The base repeats are not shared out yet in processes that have just started.
     repeatLimit: { ratio: 10, baseRepeats: 40, windowMs: 10_000 },
-    storeOf: (node) => new ProxiedStoreClient(fleet.store, node, addresses),
   });
+  fleet = proxied.fleet;
   fleet.configure(1, [members, booking]);
-  const add = async (name: string, service: string) => {
-    const host = await fleet.add(name, service, { slots: 40 });
-    const proxy = new LinkProxy(host.address, host.linkPort);
-    const port = await proxy.listen(host.address);
-    addresses.set(name, `${host.address}:${port}`);
-    proxies.push(proxy);
-    return host;
-  };
-  // The addresses are known before another node reads the record.
+  const add = (name: string, service: string) =>
+    proxied.add(name, service, { slots: 40 });
   workers = [await add("one", "members"), await add("two", "members")];
   caller = await add("caller", "menus");
   heartbeats = setInterval(
@@ -60,12 +55,11 @@
 });
 afterEach(async () => {
   clearInterval(heartbeats);
-  await fleet.close();
-  proxies.forEach((proxy) => proxy.close());
+  await proxied.close();
 });
 
 function silence(): void {
-  proxies.forEach((proxy) => proxy.silence());
+  proxied.proxies.forEach((proxy) => proxy.silence());
 }
 
 function runsOf(id: string): number {
--- a/packages/sidecar/slow_links_test.ts
+++ b/packages/sidecar/slow_links_test.ts
@@ -1,7 +1,15 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { LinkProxy, ProxiedStoreClient } from "./_link_proxy.ts";
-import { START_TIMEOUT_MS, TestFleet, type TestHost } from "./_test_fleet.ts";
+import {
+  type LinkProxy,
+  makeProxiedFleet,
+  type ProxiedFleet,
+} from "./_link_proxy.ts";
+import {
+  START_TIMEOUT_MS,
+  type TestFleet,
+  type TestHost,
+} from "./_test_fleet.ts";
 
 /** Time limit of the calls, in milliseconds. */
 const TIME_LIMIT_MS = 19_000;
@@ -21,26 +29,23 @@
 /** Time after which a node no longer follows a silent store, in milliseconds. */
 const STORE_SILENT_MS = 4_000;
 
+let proxied: ProxiedFleet;
 let fleet: TestFleet;
 let proxy: LinkProxy;
 let caller: TestHost;
 let called: TestHost;
 let heartbeats: NodeJS.Timeout;
 beforeEach(async () => {
-  const addresses = new Map<string, string>();
-  fleet = new TestFleet({
-    storeOf: (node) => new ProxiedStoreClient(fleet.store, node, addresses),
-  });
+  proxied = makeProxiedFleet();
+  fleet = proxied.fleet;
   fleet.configure(1, [{
     shares: [{ service: "members", weight: 1 }],
     isIdempotent: false,
     timeoutMs: TIME_LIMIT_MS,
     maxAttempts: 1,
   }]);
-  called = await fleet.add("called", "members", { slots: 40 });
-  proxy = new LinkProxy(called.address, called.linkPort);
-  const port = await proxy.listen(called.address);
-  addresses.set(called.name, `${called.address}:${port}`);
+  called = await proxied.add("called", "members", { slots: 40 });
+  proxy = proxied.proxies[0]!;
   caller = await fleet.add("caller", "menus");
   heartbeats = setInterval(
     () => void fleet.sendHeartbeat(called),
@@ -61,8 +66,7 @@
   fleet.store.silentNodes.clear();
   clearInterval(heartbeats);
   proxy.bytesPerSecond = Infinity;
-  await fleet.close();
-  proxy.close();
+  await proxied.close();
 });
 
 async function book(id: string, body: string): Promise<number> {
