Route requests whose target names the host

Clients that send the absolute form of the target, as HTTP libraries do to a proxy, were answered 404 though the configuration allows their requests: the path was looked for with the host in front of it. Not a request that was lost: nothing ran, and the answer came at once.

Seen with the deployed program: `GET http://x.example/r/x HTTP/1.1` is answered 404, not run.

The target is split into host and path where the header is read, before the route is looked for; its host counts in place of the Host field, as HTTP asks of every server, and the worker gets path and query.

--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -23,6 +23,7 @@
 import { CallerConnection, type Exchange } from "./_caller_connection.ts";
 import { RequestBodies } from "./_request_bodies.ts";
 import { RequestHeaderReader, timeLimitMs } from "./_request_header.ts";
+import { readTarget } from "./_request_target.ts";
 import { type CallerRequest, CallTask, type TaskResult } from "./call_task.ts";
 import type {
   CallerProxyObserver,
@@ -246,7 +247,8 @@
     if (this.#routes === undefined) {
       return this.#answerWriter.refuse(exchange, "not_ready", { requestId });
     }
-    const route = this.#routes.find(header.host, request.url ?? "/");
+    const { host, path } = readTarget(request.url ?? "/", header.host);
+    const route = this.#routes.find(host, path);
     const service = route && this.#routes.nextService(route);
     if (route === undefined || service === undefined) {
       const error = this.#options.isConfigurationPossiblyOutdated()
@@ -265,6 +267,7 @@
       route,
       service,
       requestId,
+      path,
       forwarded,
       timeLeft,
     };
@@ -296,7 +299,8 @@
 
   #run(exchange: Exchange, routed: RoutedRequest): void {
     const { request, arrivedAt } = exchange;
-    const { route, service, requestId, forwarded, timeLeft, body } = routed;
+    const { route, service, requestId, path, forwarded, timeLeft, body } =
+      routed;
     const { names } = this.#options;
     const deadline = arrivedAt + timeLimitMs(route, timeLeft);
     const parent = this.#options.parentRequestOf(requestId);
@@ -329,7 +333,7 @@
       requestId,
       route: route.name,
       method: request.method ?? "GET",
-      target: request.url ?? "/",
+      target: path,
       headers: [...forwarded, names.callerService, this.#options.callerService],
       body,
       service,
@@ -430,6 +434,8 @@
   readonly route: Route;
   readonly service: string;
   readonly requestId: string;
+  /** Path and query. */
+  readonly path: string;
   readonly forwarded: readonly string[];
   /**
    * Time for which the caller waits, in milliseconds, as stated in the header.
