Leave connections that the worker is about to close

Callers got 502 for requests that no worker had read: a worker may close idle connections sooner than after a whole second and then states no time for it. The node used such connections for 4 s, the longest idle one first, so a call that cannot be repeated was lost where it crossed the close. Whether it was read cannot be proved from the end of the connection, so 502 stays right behind the fact.

The node learns the shortest idle time at which the worker has closed a connection and uses one within 0.7 of it only. A connection that lives twice as long proves the time outdated, and another worker begins anew, so that closes for other reasons do not cost connections for long.

--- a/packages/serving/_exchange.ts
+++ b/packages/serving/_exchange.ts
@@ -42,6 +42,8 @@
   socket: Socket | undefined;
   /** Identities of the calls that the worker has refused on the connection. */
   readonly refused: Set<string>;
+  /** Time of the last answer, as of `performance.now()`. */
+  idleSince: number;
 }
 
 /** Options of {@linkcode Exchange}. */
--- a/packages/serving/worker_connections.ts
+++ b/packages/serving/worker_connections.ts
@@ -4,6 +4,7 @@
   LENGTH_HEADERS,
   type WorkerConnection,
 } from "./_exchange.ts";
+import { IdleTimeout } from "./_idle_timeout.ts";
 import type { HeaderNames } from "./header_names.ts";
 import type { MemoryAccount } from "./memory_account.ts";
 import type {
@@ -27,6 +28,9 @@
  */
 const MAX_REFUSED_PER_CONNECTION = 200;
 
+/** Code of undici's error for a connection that the worker has closed. */
+const CLOSED_CODE = "UND_ERR_SOCKET";
+
 /** Options of {@linkcode WorkerConnections}. */
 export interface WorkerConnectionsOptions {
   /** Address of the worker as host:port. */
@@ -45,7 +49,8 @@
 /**
  * Pool of connections to the worker beside this node, each of which carries one
  * call at a time. The connection that has been idle longest is used first, so
- * that unexpected bytes after an answer are detected before the next request.
+ * that unexpected bytes after an answer are detected before the next request,
+ * unless the worker may be about to close it.
  */
 export class WorkerConnections {
   readonly #options: WorkerConnectionsOptions;
@@ -53,6 +58,7 @@
   readonly #dropped: ReadonlySet<string>;
   readonly #connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
   #idle: WorkerConnection[] = [];
+  #idleTimeout = new IdleTimeout();
   readonly #connections = new Set<WorkerConnection>();
   readonly #exchanges = new Set<Exchange>();
 
@@ -105,6 +111,7 @@
         const isReusable = exchange.isReusable &&
           connection.refused.size <= MAX_REFUSED_PER_CONNECTION;
         if (isReusable && this.#connections.has(connection)) {
+          connection.idleSince = performance.now();
           this.#idle.push(connection);
         } else this.#discard(connection);
         finish(result);
@@ -132,6 +139,7 @@
   closeIdle(): void {
     this.#idle.forEach((connection) => this.#discard(connection));
     this.#idle = [];
+    this.#idleTimeout = new IdleTimeout();
   }
 
   /** Closes all connections. */
@@ -156,8 +164,13 @@
   // A call that was refused is not sent again on the same connection, where a
   // faulty worker may write the refusal once more while it runs the call.
   #takeIdle({ requestId }: WorkerCall): WorkerConnection | undefined {
-    const index = this.#idle.findIndex(({ refused }) =>
-      !refused.has(requestId)
+    const now = performance.now();
+    const [oldest] = this.#idle;
+    if (oldest !== undefined) {
+      this.#idleTimeout.recordOpen(now - oldest.idleSince);
+    }
+    const index = this.#idle.findIndex(({ idleSince, refused }) =>
+      this.#idleTimeout.allows(now - idleSince) && !refused.has(requestId)
     );
     return index < 0 ? undefined : this.#idle.splice(index, 1)[0];
   }
@@ -179,11 +192,15 @@
       client,
       socket: undefined,
       refused: new Set(),
+      idleSince: 0,
     };
-    client.on("disconnect", () => {
+    client.on("disconnect", (_origin, _targets, error) => {
       const index = this.#idle.indexOf(connection);
       if (index < 0) return;
       this.#idle.splice(index, 1);
+      if (error.code === CLOSED_CODE) {
+        this.#idleTimeout.recordClose(performance.now() - connection.idleSince);
+      }
       this.#discard(connection);
     });
     this.#connections.add(connection);
