Keep the limit of a body from its header on

Callers that upload in chunks got 400, or 504 at their deadline, when a configuration raised `maxBodyBytes` in the midst of the body, and after eleven of them in a minute the node ended itself with code 1. The check of the length read the limit anew, the buffer of the body had that of the beginning and threw an error within the parser. A lowered limit cut off uploads that had been accepted with 413.

The tests failed before, 2 of 2:

a body has the limit of its header: 20000, then 100000 expected [ 504 ] to deeply equal [ 413 ]; Unhandled Errors a body has the limit of its header: 100000, then 20000 expected [ 413 ] to deeply equal [ 200 ]

The limit is read once, with the header, as it is for bodies of stated length, and both the check and the buffer have it.

--- a/packages/calling/_request_bodies.ts
+++ b/packages/calling/_request_bodies.ts
@@ -78,6 +78,8 @@
   readonly #exchange: Exchange;
   readonly #body: IncomingBody;
   readonly #options: BodyReadingOptions;
+  /** Maximum length as the header came in, also if it changes meanwhile. */
+  readonly #maxLength: number;
   readonly #buffer: BodyBuffer;
   readonly #reservation: MemoryReservation;
   readonly #deadlineTimer: NodeJS.Timeout;
@@ -93,9 +95,10 @@
     this.#exchange = exchange;
     this.#body = body;
     this.#options = options;
+    this.#maxLength = options.maxBodyBytes();
     this.#buffer = new BodyBuffer({
       length: body.length,
-      maxLength: options.maxBodyBytes(),
+      maxLength: this.#maxLength,
     });
     this.#reservation = options.account.open("client_bodies");
     this.#deadlineTimer = setTimeout(
@@ -129,7 +132,7 @@
   #add(chunk: Buffer): void {
     if (this.#body.length !== undefined) return this.#buffer.add(chunk);
     const length = this.#buffer.length + chunk.length;
-    if (length > this.#options.maxBodyBytes()) return this.#refuse("too_large");
+    if (length > this.#maxLength) return this.#refuse("too_large");
     this.#reserve(chunk.length, () => this.#buffer.add(chunk));
   }
 
--- a/packages/calling/_test_proxy.ts
+++ b/packages/calling/_test_proxy.ts
@@ -148,6 +148,7 @@
   return {
     proxy,
     port,
+    configuration,
     account,
     caller,
     channel,
--- a/packages/calling/request_bodies_test.ts
+++ b/packages/calling/request_bodies_test.ts
@@ -150,3 +150,23 @@
   callers.forEach(({ socket }) => socket.destroy());
   await expect.poll(() => account.heldBytes).toBe(0);
 });
+
+// Guards against uploads that are answered as malformed, and an error for each that
+// in the end stops the process, when a configuration changes the limit of bodies.
+test.each([
+  { from: 20_000, to: 100_000, status: 413 },
+  { from: 100_000, to: 20_000, status: 200 },
+])("a body has the limit of its header: $from, then $to", async (limits) => {
+  const { from, to, status } = limits;
+  const { account, caller, configuration } = await start({
+    maxBodyBytes: from,
+  });
+  caller.socket.write(chunkedHead("r0") + chunk(15_000));
+  await expect.poll(() => account.heldBytes).toBe(15_000);
+  const { current } = configuration;
+  const changed = { ...current!.limits, maxBodyBytes: to };
+  configuration.put({ ...current!, version: 2, limits: changed }, "store");
+  caller.socket.write(chunk(15_000) + "0\r\n\r\n");
+  await expect.poll(() => caller.answers.map((answer) => answer.status))
+    .toEqual([status]);
+});
