Read new connections before a stop takes itself for idle

Callers lost requests at a planned stop of a process that was held up, as on a busy machine: they had sent them on new connections, and the stop accepted these, took itself for idle and closed them unanswered. One turn of the event loop lay between the timer and the look; Node.js accepts one connection in a turn and reads from it in the next one.

Each look of a stop now goes on with turns until one pair has accepted nothing, so that what was accepted has been read, and the second wait begins with such a look as well, since the first may end by its time. Links of other nodes don't need it: calls on a new one wait for its first frame and fail as not sent.

--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -107,6 +107,7 @@
   readonly #meanAnswerBytes = new Map<string, number>();
   readonly #connections = new Map<Socket, CallerConnection>();
   readonly #bodies: RequestBodies;
+  #acceptedConnections = 0;
   #unfinishedRequests = 0;
   #lastRequestAt = 0;
   readonly #stopAdmission = new StopAdmission();
@@ -149,6 +150,11 @@
     options.configuration.onChange(() => this.#applyConfiguration());
   }
 
+  /** Number of connections that were accepted since the start. */
+  get acceptedConnections(): number {
+    return this.#acceptedConnections;
+  }
+
   /** Number of requests without a complete answer. */
   get unfinishedRequests(): number {
     return this.#unfinishedRequests;
@@ -218,6 +224,7 @@
   }
 
   #accept(socket: Socket): void {
+    this.#acceptedConnections++;
     const connection = new CallerConnection(socket, {
       start: (exchange) => this.#guard(exchange, () => this.#handle(exchange)),
       onClosed: () => this.#connections.delete(socket),
--- a/packages/sidecar/node_stop.ts
+++ b/packages/sidecar/node_stop.ts
@@ -17,6 +17,12 @@
 /** Interval at which a stop polls the work in progress, in milliseconds. */
 const STOP_POLL_MS = 25;
 
+/**
+ * Turns of the event loop in which a request on a new connection is read: the first
+ * accepts the connection, the second reads from it.
+ */
+const TURNS_TO_READ = 2;
+
 /** Options of {@linkcode NodeStop}. */
 export interface NodeStopOptions {
   /** Returns the current settings of the node. */
@@ -82,7 +88,7 @@
     worker.withdrawUnused();
     // The worker accepts calls until the callers on this host have left.
     const leftAt = startedAt + CALLERS_IDLE_MS;
-    await waitUntil(
+    await this.#waitUntil(
       () =>
         performance.now() >= leftAt &&
         callerProxy.sinceRootRequestMs >= CALLERS_IDLE_MS,
@@ -90,7 +96,7 @@
     );
     gate.close();
     peerServer.sendChangedLoad();
-    await waitUntil(() => this.#isIdle, times.closesAt);
+    await this.#waitUntil(() => this.#isIdle, times.closesAt);
     const left = this.workUnderWay;
     const isFinished = this.#isIdle;
     const { hasUnstoredDeparture } = worker;
@@ -109,6 +115,29 @@
     });
   }
 
+  async #waitUntil(isOver: () => boolean, end: number): Promise<void> {
+    while (performance.now() < end) {
+      await this.#readSockets(end);
+      if (isOver()) return;
+      await sleep(STOP_POLL_MS);
+    }
+  }
+
+  // A process that was held up finds its timers due before it has read what came in
+  // meanwhile, and accepts one connection in each turn.
+  async #readSockets(end: number): Promise<void> {
+    const { callerProxy } = this.#options;
+    let accepted: number;
+    do {
+      accepted = callerProxy.acceptedConnections;
+      for (let turn = 0; turn < TURNS_TO_READ; turn++) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+    } while (
+      callerProxy.acceptedConnections > accepted && performance.now() < end
+    );
+  }
+
   // A departure that was acknowledged and not stored would be forgotten: the next
   // process of this host would take the worker for usable by its old record.
   get #isIdle(): boolean {
@@ -117,12 +146,3 @@
       !this.#options.worker.hasUnstoredDeparture;
   }
 }
-
-// Looks after each read of the sockets: a process that was held up finds its timers
-// due before it has read what came in meanwhile.
-async function waitUntil(isOver: () => boolean, end: number): Promise<void> {
-  while (!isOver() && performance.now() < end) {
-    await sleep(STOP_POLL_MS);
-    await new Promise((resolve) => setImmediate(resolve));
-  }
-}
