--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -23,6 +23,7 @@
 import { CallerConnection, type Exchange } from "./_caller_connection.ts";
 import { RequestBodies } from "./_request_bodies.ts";
 import { RequestHeaderReader, timeLimitMs } from "./_request_header.ts";
+import { readTarget } from "./_request_target.ts";
 import { type CallerRequest, CallTask, type TaskResult } from "./call_task.ts";
 import type {
   CallerProxyObserver,
@@ -106,6 +107,7 @@
   readonly #meanAnswerBytes = new Map<string, number>();
   readonly #connections = new Map<Socket, CallerConnection>();
   readonly #bodies: RequestBodies;
+  #acceptedConnections = 0;
   #unfinishedRequests = 0;
   #lastRequestAt = 0;
   readonly #stopAdmission = new StopAdmission();
@@ -148,6 +150,11 @@
     options.configuration.onChange(() => this.#applyConfiguration());
   }
 
+  /** Number of connections that were accepted since the start. */
+  get acceptedConnections(): number {
+    return this.#acceptedConnections;
+  }
+
   /** Number of requests without a complete answer. */
   get unfinishedRequests(): number {
     return this.#unfinishedRequests;
@@ -217,6 +224,7 @@
   }
 
   #accept(socket: Socket): void {
+    this.#acceptedConnections++;
     const connection = new CallerConnection(socket, {
       start: (exchange) => this.#guard(exchange, () => this.#handle(exchange)),
       onClosed: () => this.#connections.delete(socket),
@@ -246,7 +254,8 @@
     if (this.#routes === undefined) {
       return this.#answerWriter.refuse(exchange, "not_ready", { requestId });
     }
-    const route = this.#routes.find(header.host, request.url ?? "/");
+    const { host, path } = readTarget(request.url ?? "/", header.host);
+    const route = this.#routes.find(host, path);
     const service = route && this.#routes.nextService(route);
     if (route === undefined || service === undefined) {
       const error = this.#options.isConfigurationPossiblyOutdated()
@@ -265,6 +274,7 @@
       route,
       service,
       requestId,
+      path,
       forwarded,
       timeLeft,
     };
@@ -296,7 +306,8 @@
 
   #run(exchange: Exchange, routed: RoutedRequest): void {
     const { request, arrivedAt } = exchange;
-    const { route, service, requestId, forwarded, timeLeft, body } = routed;
+    const { route, service, requestId, path, forwarded, timeLeft, body } =
+      routed;
     const { names } = this.#options;
     const deadline = arrivedAt + timeLimitMs(route, timeLeft);
     const parent = this.#options.parentRequestOf(requestId);
@@ -329,7 +340,7 @@
       requestId,
       route: route.name,
       method: request.method ?? "GET",
-      target: request.url ?? "/",
+      target: path,
       headers: [...forwarded, names.callerService, this.#options.callerService],
       body,
       service,
@@ -430,6 +441,8 @@
   readonly route: Route;
   readonly service: string;
   readonly requestId: string;
+  /** Path and query. */
+  readonly path: string;
   readonly forwarded: readonly string[];
   /**
    * Time for which the caller waits, in milliseconds, as stated in the header.
