Let each attempt own the handle of its run

Callers that left did not end their calls where the worker of their own host was full. Its gate refuses within `run`, so the call had been sent to the next worker before `run` returned, and the handle of the refused run was kept in place of the one that ran. A check of attempt numbers mended the symptom; the order of two assignments still decided it.

An `Attempt` now owns the handle of one run and has one state: new, starting, finishing, running, ended. An outcome that comes within `run` is kept until the handle is known, a cancel that comes within it is passed on then, and a second outcome is ignored.

The same shape elsewhere: - `PeerServer` (gate of the worker) had a flag against keeping the handle of a call that is over; it keeps attempts now. - `WorkerGate` (connections of the worker) had a flag against two outcomes, and assigned the handle behind an outcome where undici rejects a request at once; it keeps attempts now. - `PeerChannel.run` fails calls at once while it may not open a link, and the queue of a gate starts and refuses calls within `run`; their callers hold attempts. - By reading no fault: `LinkOpening`, `Link` and `PeerServer` name each other in handlers that only later turns call; `MemoryReservation.waitFor` grants at releases only, and the timer stands before it; `Exchange.onEnd` is registered in the turn of the request; `RankedQueue` calls nothing. The gate's timer for a limited worker may be set twice when a refusal enters it again; the older one only looks once more.

--- a/packages/calling/call_task.ts
+++ b/packages/calling/call_task.ts
@@ -1,10 +1,10 @@
 import { ERROR_DETAILS, type ErrorKind } from "@oleanderdeck/errors";
 import type { HeaderList, LoadReport } from "@oleanderdeck/hop";
-import type {
-  CallHandle,
-  WorkerAnswer,
-  WorkerFailure,
-  WorkerResult,
+import {
+  Attempt,
+  type WorkerAnswer,
+  type WorkerFailure,
+  type WorkerResult,
 } from "@oleanderdeck/serving";
 import type { WorkerChannel } from "./worker_channel.ts";
 import { type ChannelChoiceOptions, chooseChannel } from "./worker_choice.ts";
@@ -131,9 +131,8 @@
   /** Nodes of the workers that have refused the request without running it. */
   readonly #refusingNodes = new Set<string>();
   readonly #timer: NodeJS.Timeout;
-  #callHandle: CallHandle | undefined;
-  /** Number of workers that the request was passed to, with or without success. */
-  #attempts = 0;
+  /** The last attempt; each begins when the one before has its outcome. */
+  #attempt: Attempt | undefined;
   #node = "";
   /** Attempts that reached a worker and have ended without success. */
   #sentAttempts = 0;
@@ -235,11 +234,11 @@
   cancel(): void {
     if (this.#isDone) return;
     this.#close();
-    this.#callHandle?.cancel();
+    this.#attempt?.cancel();
   }
 
   #send(lastError: ErrorKind, retryAfterMs = DEFAULT_RETRY_AFTER_MS): void {
-    const { requestId, service, deadline } = this.#request;
+    const { service, deadline } = this.#request;
     const channel = this.#choose((load) => this.#mayAdmitRequest(load)) ??
       this.#choose((load) => this.#mayAdmitNestedCalls(load)) ??
       this.#chooseOpening();
@@ -251,24 +250,13 @@
     this.#triedNodes.add(channel.node);
     this.#node = channel.node;
     this.#options.observer?.onSent(this.#request, channel);
-    const { method, target, headers, body } = this.#request;
-    const { isIdempotent, latencyTargetMs, rank } = this.#request;
-    const attempt = ++this.#attempts;
-    const callHandle = channel.run({
-      requestId,
-      route: this.#request.route,
-      method,
-      target,
-      headers,
-      body,
-      isIdempotent,
-      latencyTargetMs,
-      rank,
+    const call = {
+      ...this.#request,
       isRepeat: this.#request.isRepeat || this.#sentAttempts > 0,
       timeLeftMs: deadline - performance.now(),
-    }, { service, finish: (result) => this.#receive(result) });
-    // A refusal within `run` has passed the request on already.
-    if (attempt === this.#attempts) this.#callHandle = callHandle;
+    };
+    this.#attempt = new Attempt((result) => this.#receive(result));
+    this.#attempt.start((finish) => channel.run(call, { service, finish }));
   }
 
   #receive(result: WorkerResult): void {
@@ -332,7 +320,6 @@
 
   #expire(): void {
     if (this.#isDone) return;
-    const callHandle = this.#callHandle;
     this.#finish({
       kind: "refusal",
       error: "deadline_exceeded",
@@ -340,7 +327,7 @@
       retryAfterMs: 0,
       worker: this.#node,
     });
-    callHandle?.cancel();
+    this.#attempt?.cancel();
   }
 
   #refuse(error: ErrorKind, retryAfterMs: number): void {
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+export * from "./attempt.ts";
 export * from "./body_buffer.ts";
 export * from "./departed_workers.ts";
 export * from "./parse_headers.ts";
--- a/packages/serving/worker_gate.ts
+++ b/packages/serving/worker_gate.ts
@@ -2,12 +2,12 @@
 import type { LoadReport } from "@oleanderdeck/hop";
 import { CallEstimates } from "./_call_estimates.ts";
 import { RepeatAdmission } from "./_repeat_admission.ts";
+import { Attempt } from "./attempt.ts";
 import type { GateIntervalCounts } from "./overload_meter.ts";
 import { isNestedRank } from "./rank.ts";
 import { RankedQueue } from "./ranked_queue.ts";
 import { StopAdmission, type StopTimes } from "./stop_admission.ts";
 import type { WorkerCall, WorkerResult } from "./worker_call.ts";
-import type { ExchangeHandle } from "./worker_connections.ts";
 import type {
   CallHandle,
   DownstreamLoad,
@@ -51,7 +51,7 @@
   readonly finish: (result: WorkerResult) => void;
   readonly arrivedAt: number;
   timer: NodeJS.Timeout | undefined;
-  exchange: ExchangeHandle | undefined;
+  exchange: Attempt | undefined;
   startedAt: number;
 }
 
@@ -283,26 +283,25 @@
     this.#selfReport.limit.countCall();
     this.#callsAtWorker.set(call.requestId, call);
     pending.startedAt = now;
-    let isFinished = false;
     const { workerId } = tracker.state;
-    const finish = (result: WorkerResult) => {
-      if (isFinished) return;
-      isFinished = true;
-      this.#finish(pending, result);
+    const sent = {
+      ...call,
+      headers: [
+        ...call.headers,
+        names.timeLeftMs,
+        String(Math.floor(timeLeftMs)),
+        names.expectedWorker,
+        workerId,
+      ],
     };
-    pending.exchange = connections.send(
-      {
-        ...call,
-        headers: [
-          ...call.headers,
-          names.timeLeftMs,
-          String(Math.floor(timeLeftMs)),
-          names.expectedWorker,
-          workerId,
-        ],
-      },
-      finish,
-      (stated) => this.#selfReport.observe(workerId, stated),
+    const exchange = new Attempt((result) => this.#finish(pending, result));
+    pending.exchange = exchange;
+    exchange.start((finish) =>
+      connections.send(
+        sent,
+        finish,
+        (stated) => this.#selfReport.observe(workerId, stated),
+      )
     );
   }
 
--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -51,6 +51,8 @@
 export class TestWorker {
   /** Requests in the order of their arrival. */
   readonly ran: { requestId: string; method: string; body: string }[] = [];
+  /** Requests without an answer whose connection is open. */
+  readonly atWork = new Set<string>();
   /** Caller services named in the requests. */
   readonly callers = new Set<string>();
   /** Delay before each answer, in milliseconds. */
@@ -81,6 +83,8 @@
         method: incoming.method ?? "",
         body: Buffer.concat(chunks).toString(),
       });
+      this.atWork.add(requestId);
+      response.once("close", () => this.atWork.delete(requestId));
       if (!await this.run(requestId)) return void incoming.socket.destroy();
       response.writeHead(this.status, {
         "x-request": requestId,
--- a/packages/sidecar/peer_server.ts
+++ b/packages/sidecar/peer_server.ts
@@ -12,7 +12,7 @@
   type LoadReport,
 } from "@oleanderdeck/hop";
 import {
-  type CallHandle,
+  Attempt,
   type MemoryAccount,
   type MemoryReservation,
   SMALL_RESERVATION_BYTES,
@@ -52,7 +52,7 @@
 /** Link from a caller's node, with the unfinished calls received on it. */
 interface CallerLink {
   readonly link: Link;
-  readonly callHandles: Map<number, CallHandle>;
+  readonly attempts: Map<number, Attempt>;
   /** Memory of the bodies of the calls. */
   readonly bodies: Map<number, MemoryReservation>;
   /** Memory of the answers that the peer has not taken yet. */
@@ -126,17 +126,17 @@
         frame.kind !== "call" || this.#acceptBody(frame, bytes, entry),
       onClose: () => {
         this.#links.delete(entry);
-        entry.callHandles.forEach((callHandle) => callHandle.cancel());
+        entry.attempts.forEach((attempt) => attempt.cancel());
         // A call that the worker still runs holds its body until it ends.
         entry.bodies.forEach((reservation, id) => {
-          if (!entry.callHandles.has(id)) reservation.close();
+          if (!entry.attempts.has(id)) reservation.close();
         });
         entry.answers.forEach((reservation) => reservation.close());
       },
     });
     const entry: CallerLink = {
       link,
-      callHandles: new Map(),
+      attempts: new Map(),
       bodies: new Map(),
       answers: new Set(),
       lastSentLoad: hello.load,
@@ -147,7 +147,7 @@
 
   #receive(frame: Frame, entry: CallerLink): void {
     if (frame.kind === "call") this.#run(frame, entry);
-    else if (frame.kind === "cancel") entry.callHandles.get(frame.id)?.cancel();
+    else if (frame.kind === "cancel") entry.attempts.get(frame.id)?.cancel();
     else this.#options.onFrame(frame, entry.link);
   }
 
@@ -176,10 +176,8 @@
     const { length } = frame.body;
     const needsMemory = length > 0 && !entry.bodies.has(id);
     if (needsMemory && !this.#acceptBody(frame, length, entry)) return;
-    let isFinished = false;
-    const callHandle = gate.run(frame, (result) => {
-      isFinished = true;
-      entry.callHandles.delete(id);
+    const attempt = new Attempt((result) => {
+      entry.attempts.delete(id);
       this.#releaseBody(id, entry);
       const report = load();
       this.#options.observer?.onWorkerResult(frame, result, report);
@@ -188,7 +186,8 @@
         this.#sendAnswer({ ...result, id, load: report }, entry);
       } else entry.link.send({ ...result, id, load: report });
     });
-    if (!isFinished) entry.callHandles.set(id, callHandle);
+    entry.attempts.set(id, attempt);
+    attempt.start((finish) => gate.run(frame, finish));
   }
 
   #releaseBody(id: number, { bodies }: CallerLink): void {
