Keep the last chunk of a body that waits for memory

Workers ran uploads in chunks without their last part, and their clients got a success: 843,209 of 900,000 bytes. It needs several large bodies at once, more than their share of the memory.

A chunk that does not fit in waits, and the request is paused. Node.js emits "end" all the same if the pause comes at the last chunk of what it had buffered. The body was then passed on without the chunk that waited. "end" is now one of two conditions: the body is passed on when all chunks were read and none waits.

The new test failed before (`expected +0 to be 62000`, the bytes held while the chunk waits); a scratch copy with the old code and without that expectation answered 200 with 22,000 of 72,000 bytes.

--- a/packages/calling/_request_bodies.ts
+++ b/packages/calling/_request_bodies.ts
@@ -83,6 +83,10 @@
   readonly #deadlineTimer: NodeJS.Timeout;
   readonly #receive = (chunk: Buffer) => this.#add(chunk);
   #waitTimer: NodeJS.Timeout | undefined;
+  /** Whether a chunk that was read waits for room. */
+  #isWaiting = false;
+  /** Whether all chunks were read. */
+  #isRead = false;
   #isEnded = false;
 
   constructor(
@@ -120,12 +124,18 @@
     const { request } = this.#exchange;
     request.on("data", this.#receive);
     request.once("end", () => {
-      if (this.#isEnded) return;
-      this.#end();
-      this.#options.onRead(this.#buffer.bytes);
+      this.#isRead = true;
+      this.#passOn();
     });
   }
 
+  // Node.js ends a stream that was paused at its last chunk, which may still wait.
+  #passOn(): void {
+    if (this.#isEnded || this.#isWaiting || !this.#isRead) return;
+    this.#end();
+    this.#options.onRead(this.#buffer.bytes);
+  }
+
   #add(chunk: Buffer): void {
     if (this.#body.length !== undefined) return this.#buffer.add(chunk);
     const length = this.#buffer.length + chunk.length;
@@ -142,6 +152,7 @@
     if (this.#reservation.grow(bytes)) return onRoom();
     const { request } = this.#exchange;
     request.pause();
+    this.#isWaiting = true;
     const timeLeftMs = this.#body.deadline - performance.now();
     this.#waitTimer = setTimeout(
       () => this.#refuse("no_memory"),
@@ -149,8 +160,10 @@
     );
     this.#reservation.waitFor(bytes, () => {
       clearTimeout(this.#waitTimer);
+      this.#isWaiting = false;
       onRoom();
       request.resume();
+      this.#passOn();
     });
   }
 
--- a/packages/calling/request_bodies_test.ts
+++ b/packages/calling/request_bodies_test.ts
@@ -150,3 +150,30 @@
   callers.forEach(({ socket }) => socket.destroy());
   await expect.poll(() => account.heldBytes).toBe(0);
 });
+
+// Guards against a request that runs with a part of its body: the last chunk waits
+// for room, and Node.js ends the stream all the same (soak, uploads, seed 4).
+test("a body whose last chunk waits for room is passed on whole", async () => {
+  const { account, caller, newCaller, ran } = await start({
+    maxHeldBytes: MAX_HELD_BYTES,
+    delayMs: (id) => id.startsWith("held") ? Infinity : 0,
+  });
+  const other = newCaller();
+  caller.socket.write(upload("held-1", 40_000));
+  other.socket.write(upload("held-2", 40_000));
+  await expect.poll(() => ran).toHaveLength(2);
+  const waiting = newCaller();
+  waiting.socket.write(chunkedHead("r0") + chunk(10_000));
+  await expect.poll(() => account.heldBytes).toBe(90_000);
+  for (const text of [chunk(12_000), chunk(50_000) + "0\r\n\r\n"]) {
+    waiting.socket.write(text);
+    await pause(20);
+  }
+  other.socket.destroy();
+  await expect.poll(() => account.heldBytes).toBe(62_000);
+  await pause(20);
+  expect(ran).toHaveLength(2);
+  caller.socket.destroy();
+  await expect.poll(() => waiting.answers).toMatchObject([{ status: 200 }]);
+  expect(waiting.text).toMatch(/content-length: 72000\r\n/i);
+});
