Draw ports of test fleets where the kernel draws none

A test of a fleet failed once with EADDRINUSE on a port that it had drawn as free. The port was drawn by listening on port 0 and closing again, so until its node listened the kernel could give it to a worker or relay of another host of the same fleet, which listened on port 0 as well. That it was this one in the run that failed isn't shown, since its log wasn't kept. Connections can't take such a port: their own address is 127.0.0.1, by a look at one to an address of this kind.

All listeners on the address of a process now draw from one count below the kernel's range, and the address has all bits of the process identity: before, identities that end in 254 and 0, or 255 and 1, had the same one.

--- a/packages/sidecar/_link_proxy.ts
+++ b/packages/sidecar/_link_proxy.ts
@@ -9,6 +9,7 @@
   type TestFleetOptions,
   type TestHost,
 } from "./_test_fleet.ts";
+import { drawTestPort } from "./_test_ports.ts";
 import { type TestStore, TestStoreClient } from "./_test_store.ts";
 
 /**
@@ -21,6 +22,8 @@
   delayMs = 0;
   /** Bytes that each direction of a connection takes in a second. */
   bytesPerSecond = Infinity;
+  /** Port on which the relay listens. */
+  readonly port = drawTestPort();
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   readonly #silent = new WeakSet<Socket>();
@@ -37,14 +40,12 @@
     });
   }
 
-  /** Starts to listen; resolves to the port. */
-  listen(host: string): Promise<number> {
-    return new Promise((resolve) =>
-      this.#server.listen(0, host, () => {
-        const address = this.#server.address();
-        resolve(typeof address === "object" ? address?.port ?? 0 : 0);
-      })
-    );
+  /** Starts to listen. */
+  listen(host: string): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(this.port, host, resolve);
+    });
   }
 
   /** Relays nothing more on the connections that are open; new ones work. */
@@ -166,8 +167,8 @@
       const host = await fleet.add(name, service, { slots });
       const proxy = new LinkProxy(host.address, host.linkPort);
       proxy.delayMs = delayMs;
-      const port = await proxy.listen(host.address);
-      addresses.set(name, `${host.address}:${port}`);
+      await proxy.listen(host.address);
+      addresses.set(name, `${host.address}:${proxy.port}`);
       proxies.push(proxy);
       return host;
     },
--- a/packages/sidecar/_test_fleet.ts
+++ b/packages/sidecar/_test_fleet.ts
@@ -1,5 +1,4 @@
 import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
 import { Writable } from "node:stream";
 import { request } from "undici";
 import type { PlatformStore, Route } from "@oleanderdeck/directory";
@@ -9,6 +8,7 @@
   RequestLog,
 } from "@oleanderdeck/observability";
 import type { HeaderNames } from "@oleanderdeck/serving";
+import { drawTestPort, TEST_ADDRESS } from "./_test_ports.ts";
 import { TestStore, TestStoreClient } from "./_test_store.ts";
 import {
   type FleetRepeatLimitSettings,
@@ -29,17 +29,6 @@
   callerService: "x-caller-service",
 };
 
-/**
- * Loopback address of this process. With an address of its own, tests of another
- * process cannot take a free port before a node listens on it.
- */
-const TEST_ADDRESS = `127.${1 + (process.pid >> 16) % 250}.${
-  (process.pid >> 8) & 255
-}.${1 + (process.pid & 255) % 254}`;
-
-/** Ports that were handed out; a host may not listen on its port yet. */
-const handedOutPorts = new Set<number>();
-
 /** Limit of the repeats that all nodes of a test send to a service. */
 export const TEST_REPEAT_LIMIT: FleetRepeatLimitSettings = {
   ratio: 0.2,
@@ -95,10 +84,11 @@
   }
 
   async listen(): Promise<void> {
-    await new Promise<void>((resolve) =>
-      this.#server.listen(0, TEST_ADDRESS, resolve)
-    );
-    const { port } = this.#server.address() as AddressInfo;
+    const port = drawTestPort();
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, TEST_ADDRESS, resolve);
+    });
     this.address = `${TEST_ADDRESS}:${port}`;
   }
 
@@ -203,7 +193,7 @@
       log: this.#log,
       metrics: this.metrics,
     });
-    const [callPort, linkPort] = [await freePort(), await freePort()];
+    const [callPort, linkPort] = [drawTestPort(), drawTestPort()];
     const host: TestHost = {
       name,
       service,
@@ -376,15 +366,3 @@
     };
   }
 }
-
-function freePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, TEST_ADDRESS, () => {
-      const { port } = server.address() as AddressInfo;
-      const isNew = !handedOutPorts.has(port);
-      handedOutPorts.add(port);
-      server.close(() => resolve(isNew ? port : freePort()));
-    });
-  });
-}
