Check timeouts of the daemon's calls behind a read of its sockets

Callers got 502 (connection_lost), or a truncated answer, for calls whose answer had arrived. Timers run before sockets are read: a daemon that was held up for longer than the progress timeout, by its own work or a busy machine, found the timeout expired and ended the call before it read the bytes that waited.

The check of the calls now runs in the immediate behind its timer, when sockets have been read; bytes that came in count as progress, and an answer that is complete ends its call.

The new test holds the process up for 300 ms at a progress timeout of 200 ms.

--- a/packages/calls/_call_timeout_monitor.ts
+++ b/packages/calls/_call_timeout_monitor.ts
@@ -59,7 +59,9 @@
     clearTimeout(this.#timer);
     this.#firesAt = dueAt;
     const wait = Math.max(RESOLUTION_MS, dueAt - this.#clock.now());
-    this.#timer = setTimeout(() => this.#checkAll(), wait);
+    // Timers run before sockets are read. Bytes that arrived while the process was
+    // held up count as progress.
+    this.#timer = setTimeout(() => setImmediate(() => this.#checkAll()), wait);
     // The timer need not keep the process alive: while calls are in flight,
     // their open connections do.
     this.#timer.unref();
--- a/packages/calls/call_faults_test.ts
+++ b/packages/calls/call_faults_test.ts
@@ -352,6 +352,29 @@
   await waitUntil(() => sockets[0]!.destroyed);
 });
 
+// Guards against a process that was held up, by its own work or a busy machine, and
+// cuts off answers whose bytes have arrived but were not read yet.
+test("an answer that arrived while the process was held up is whole", async () => {
+  const held = new Int32Array(new SharedArrayBuffer(4));
+  const address = await fixture.rawServer((socket) => {
+    socket.once("data", () => {
+      socket.write("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nab");
+      // Behind an immediate, timers run before sockets are read.
+      setTimeout(() =>
+        setImmediate(() => {
+          socket.write("cd");
+          Atomics.wait(held, 0, 0, 300);
+        }), 50);
+    });
+  });
+  const callServer = await fixture.callServer({
+    menus: [directTarget(address)],
+  });
+  const answer = await request(`${callServer.url}/menus/list`);
+  expect(answer.statusCode).toBe(200);
+  expect(await answer.body.text()).toBe("abcd");
+});
+
 // Guards against a shutdown that truncates responses which are still being
 // written to slow callers.
 test("a graceful shutdown waits for a slow caller to read", async () => {
