Give the slow caller's test a service without a short progress timeout

The test "a graceful shutdown waits for a slow caller to read" failed once on a busy machine: the caller had read 312 bytes of more than 12,000,000. Traced: the services of this file have a progress timeout of 200 ms, and the process of the test is the backend server, too, which makes 12 MB in one turn.

The test is about the shutdown, whose expectation stays: it now calls a service with the default progress timeout of 2 s.

--- a/packages/calls/call_faults_test.ts
+++ b/packages/calls/call_faults_test.ts
@@ -13,6 +13,7 @@
 const policy = new OpenPolicy({
   services: {
     menus: { progressTimeoutMs: 200, maximumBodyBytes: 1_000_000 },
+    reports: {},
   },
   rule: (query) => ({ idempotent: query.method === "GET" }),
 });
@@ -378,17 +379,19 @@
 // Guards against a shutdown that truncates responses which are still being
 // written to slow callers.
 test("a graceful shutdown waits for a slow caller to read", async () => {
+  // Of a service without a short progress timeout: this process is the backend
+  // server, too, and is held up while it makes the answer.
   const bytes = 12_000_000;
   const backend = await fixture.backend({
-    service: "menus",
+    service: "reports",
     requests: [{ method: "*", path: "*", answerBytes: bytes }],
   });
   const callServer = await fixture.callServer({
-    menus: [directTarget(backend.address)],
+    reports: [directTarget(backend.address)],
   });
   const [host, port] = callServer.address.split(":");
   const socket = connect(Number(port), host).pause();
-  socket.write("GET /menus/list HTTP/1.1\r\nhost: node\r\n\r\n");
+  socket.write("GET /reports/list HTTP/1.1\r\nhost: node\r\n\r\n");
   await waitUntil(() => callServer.node.callServer.inFlight === 1);
   await sleep(100);
   const closed = callServer.node.close();
