Give long bodies pages of their own and collect chunks as they are copied

What was seen: 10 s after a load a node that held nothing had 202 MB resident, and under 200 slow readers of large answers the node beside the worker reached 260 MB of 250, where the platform kills it and all that it had accepted is lost.

Cause: the bytes were not held by answers. Of 202 MB resident after the load 3 MB were buffers and 10 MB heap: the allocator kept blocks of bodies, since it raises the size from which it returns them with each that is freed, and blocks and chunks lie mixed. During the load up to 50 MB were chunks and released blocks that were not collected yet.

Now a block of 128 KiB and more is a resizable buffer, whose pages are not the allocator's; the system gets them back at once when a link or client has taken the answer (`freeBody`), and otherwise with the collection of the block. Chunks are collected as young objects after each 8 MiB that were copied. Bodies of unknown length are copied from 256 KiB on, so that their chunks don't grow old.

--- a/packages/calling/_answer_writer.ts
+++ b/packages/calling/_answer_writer.ts
@@ -1,5 +1,6 @@
 import { type IncomingMessage, STATUS_CODES } from "node:http";
 import { ERROR_DETAILS, type ErrorKind } from "@oleanderdeck/errors";
+import { freeBody } from "@oleanderdeck/hop";
 import type { MemoryAccount, MemoryReservation } from "@oleanderdeck/serving";
 import type { Exchange } from "./_caller_connection.ts";
 import type { CallerRequest, TaskAnswer } from "./call_task.ts";
@@ -131,6 +132,7 @@
         : reservation.growAhead(body.length);
     exchange.onEnd(() => {
       reservation.close();
+      if (exchange.response.writableFinished) freeBody(body);
       this.#waiting.delete(exchange);
     });
     while (!take()) {
--- a/packages/hop/frame_codec.ts
+++ b/packages/hop/frame_codec.ts
@@ -1,4 +1,5 @@
 import { ERROR_DETAILS, type ErrorKind } from "@oleanderdeck/errors";
+import { allocateBody, copyToBody } from "./body_block.ts";
 import { asCount, asList, asNumber, asText } from "./_fields.ts";
 import { packLoad, unpackLoad } from "./_load_fields.ts";
 import { packStatement, unpackStatement } from "./_statement_fields.ts";
@@ -395,8 +396,7 @@
     const isAccepted = this.#acceptBody(frame, length);
     return {
       frame,
-      // The system provides the memory only as it is written.
-      block: isAccepted ? Buffer.allocUnsafeSlow(length) : undefined,
+      block: isAccepted ? allocateBody(length) : undefined,
       length,
       received: 0,
     };
@@ -405,7 +405,9 @@
   /** Returns the bytes behind the body. */
   #readBody(body: IncomingBody, chunk: Buffer, frames: Frame[]): Buffer {
     const end = Math.min(chunk.length, body.length - body.received);
-    if (body.block !== undefined) chunk.copy(body.block, body.received, 0, end);
+    if (body.block !== undefined) {
+      copyToBody(chunk.subarray(0, end), body.block, body.received);
+    }
     body.received += end;
     if (body.received === body.length) {
       this.#body = undefined;
--- a/packages/hop/mod.ts
+++ b/packages/hop/mod.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+export * from "./body_block.ts";
 export * from "./frame.ts";
 export * from "./frame_codec.ts";
 export * from "./link.ts";
--- a/packages/serving/body_buffer.ts
+++ b/packages/serving/body_buffer.ts
@@ -1,3 +1,5 @@
+import { allocateBody, copyToBody } from "@oleanderdeck/hop";
+
 /** Usual value of {@linkcode BodyBufferOptions.maxJoinedLength}, in bytes. */
 const MAX_JOINED_BYTES = 4_194_304;
 
@@ -12,7 +14,10 @@
 
 /** Bounds of the size of a block into which small chunks are copied, in bytes. */
 const MIN_PART_BYTES = 4_096;
-const MAX_PART_BYTES = 65_536;
+const MAX_PART_BYTES = 1_048_576;
+
+/** Length of a body from which all its chunks are copied, in bytes. */
+const COPIED_BODY_BYTES = 262_144;
 
 /** Options of {@linkcode BodyBuffer}. */
 export interface BodyBufferOptions {
@@ -60,7 +65,7 @@
       this.#closePart();
       this.#block = this.#parts.length === 1
         ? this.#parts[0]!
-        : Buffer.concat(this.#parts);
+        : copyParts(this.#parts, allocateBody(this.#length));
       this.#parts = [];
     }
     return this.#block.subarray(0, this.#length);
@@ -101,22 +106,24 @@
     if (this.#block === undefined || this.#block.length < length) {
       const { length: known, maxLength } = this.#options;
       const size = Math.min(Math.max(wantedSize, length), known ?? maxLength);
-      const block = Buffer.allocUnsafeSlow(size);
+      const block = allocateBody(size);
       this.#closePart();
       const parts = this.#block === undefined
         ? this.#parts
         : [this.#block.subarray(0, this.#length)];
-      parts.reduce((at, part) => at + part.copy(block, at), 0);
+      copyParts(parts, block);
       this.#parts = [];
       this.#block = block;
     }
-    chunk.copy(this.#block, this.#length);
+    copyToBody(chunk, this.#block, this.#length);
   }
 
   #addPart(chunk: Buffer): void {
     // A view of a much larger buffer would keep all of that.
     const isOwn = MAX_KEPT_FACTOR * chunk.length >= chunk.buffer.byteLength;
-    if (chunk.length >= LARGE_CHUNK_BYTES && isOwn) {
+    const isKept = chunk.length >= LARGE_CHUNK_BYTES && isOwn &&
+      this.#length < COPIED_BODY_BYTES;
+    if (isKept) {
       this.#closePart();
       this.#parts.push(chunk);
       return;
@@ -125,11 +132,9 @@
     if (room < chunk.length) {
       this.#closePart();
       const size = Math.min(this.#length, MAX_PART_BYTES);
-      this.#open = Buffer.allocUnsafeSlow(
-        Math.max(MIN_PART_BYTES, size, chunk.length),
-      );
+      this.#open = allocateBody(Math.max(MIN_PART_BYTES, size, chunk.length));
     }
-    this.#openLength += chunk.copy(this.#open!, this.#openLength);
+    this.#openLength += copyToBody(chunk, this.#open!, this.#openLength);
   }
 
   #closePart(): void {
@@ -139,3 +144,8 @@
     this.#openLength = 0;
   }
 }
+
+function copyParts(parts: readonly Buffer[], block: Buffer): Buffer {
+  parts.reduce((at, part) => at + part.copy(block, at), 0);
+  return block;
+}
--- a/packages/sidecar/_link_answers.ts
+++ b/packages/sidecar/_link_answers.ts
@@ -1,4 +1,4 @@
-import type { AnswerFrame, Link } from "@oleanderdeck/hop";
+import { type AnswerFrame, freeBody, type Link } from "@oleanderdeck/hop";
 import {
   type MemoryReservation,
   SMALL_RESERVATION_BYTES,
@@ -76,6 +76,7 @@
     if (!this.#waiting.delete(frame.id)) return;
     this.#link.send(frame, () => {
       this.#release(memory);
+      freeBody(frame.body);
       this.#sendNext();
     });
   }
