--- a/packages/sidecar/peer_memory_test.ts
+++ b/packages/sidecar/peer_memory_test.ts
@@ -229,6 +229,9 @@
   await expect.poll(() => frames.length, { timeout: 10_000 }).toBe(31);
   const kinds = frames.map(({ kind }) => kind);
   expect(kinds).toEqual(["hello", ...Array(30).fill("answer")]);
+  const isWhole = (frame: Frame) =>
+    frame.kind !== "answer" || frame.body.equals(Buffer.from(body));
+  expect(frames.every(isWhole)).toBe(true);
   expect(greatestBytes).toBeLessThanOrEqual(sums.answers);
   expect(account.heldBytes).toBe(0);
 });
