--- a/packages/calling/_answer_writer.ts
+++ b/packages/calling/_answer_writer.ts
@@ -1,5 +1,6 @@
 import { type IncomingMessage, STATUS_CODES } from "node:http";
 import { ERROR_DETAILS, type ErrorKind } from "@oleanderdeck/errors";
+import { freeBody } from "@oleanderdeck/hop";
 import type { MemoryAccount, MemoryReservation } from "@oleanderdeck/serving";
 import type { Exchange } from "./_caller_connection.ts";
 import type { CallerRequest, TaskAnswer } from "./call_task.ts";
@@ -112,20 +113,29 @@
       // lines.
       response.end(body.toString("latin1"), "latin1");
     } else {
-      this.#reserve(exchange, body.length);
+      this.#reserve(exchange, answer);
       response.end(body);
     }
   }
 
   // Without room the callers that have been reading for longest are cut off. Those
   // that read at all have finished by then.
-  #reserve(exchange: Exchange, bytes: number): void {
-    const reservation = this.#options.account.open("waiting_answers");
+  #reserve(exchange: Exchange, { body, memory }: TaskAnswer): void {
+    // An answer that was kept for a repeat holds nothing any more.
+    const isHeld = memory !== undefined && memory.bytes >= body.length;
+    const reservation = isHeld
+      ? memory.handOver()
+      : this.#options.account.open("waiting_answers");
+    const take = () =>
+      isHeld
+        ? reservation.moveTo("waiting_answers")
+        : reservation.growAhead(body.length);
     exchange.onEnd(() => {
       reservation.close();
+      if (exchange.response.writableFinished) freeBody(body);
       this.#waiting.delete(exchange);
     });
-    while (!reservation.grow(bytes)) {
+    while (!take()) {
       const [oldest] = this.#waiting;
       if (oldest === undefined) break;
       const [other, held] = oldest;
