--- a/packages/sidecar/_link_answers.ts
+++ b/packages/sidecar/_link_answers.ts
@@ -8,6 +8,8 @@
 interface LargeAnswer {
   readonly frame: AnswerFrame;
   readonly memory: MemoryReservation;
+  /** Whether an earlier link may not have let go of the body. */
+  readonly isShared: boolean;
 }
 
 /**
@@ -17,14 +19,25 @@
  */
 export class LinkAnswers {
   readonly #link: Link;
+  readonly #onSent: (frame: AnswerFrame) => boolean;
   /** Memory of the answers that the peer has not taken yet. */
   readonly #held = new Set<MemoryReservation>();
   /** Answers that wait for room, by the numbers of their calls. */
   readonly #waiting = new Map<number, LargeAnswer>();
 
-  /** @param link Link on which the answers are sent. */
-  constructor(link: Link) {
+  /**
+   * @param link Link on which the answers are sent.
+   * @param onSent Called with each answer that was sent; returns whether the owner
+   * keeps its body.
+   */
+  constructor(link: Link, onSent: (frame: AnswerFrame) => boolean) {
     this.#link = link;
+    this.#onSent = onSent;
+  }
+
+  /** Whether the answer to a call waits for room. */
+  isWaiting(id: number): boolean {
+    return this.#waiting.has(id);
   }
 
   /**
@@ -36,9 +49,36 @@
   send(frame: AnswerFrame, memory: MemoryReservation | undefined): void {
     const isSmall = frame.body.length <= SMALL_RESERVATION_BYTES;
     if (isSmall || memory === undefined || this.#link.isClosed) {
-      return this.#link.send(frame);
+      this.#link.send(frame);
+      return void this.#onSent(frame);
     }
-    const answer = { frame, memory: memory.handOver() };
+    this.#sendLarge({ frame, memory: memory.handOver(), isShared: false });
+  }
+
+  /**
+   * Sends an answer that was sent on an earlier link and may be lost.
+   *
+   * @param frame Answer.
+   * @param memory Memory of its body, which is taken over.
+   */
+  sendAgain(frame: AnswerFrame, memory: MemoryReservation): void {
+    this.#sendLarge({ frame, memory, isShared: true });
+  }
+
+  /**
+   * Returns the answer to a call if it waits, and no longer holds it. The receiver
+   * takes over its memory.
+   */
+  take(id: number): Omit<LargeAnswer, "isShared"> | undefined {
+    const answer = this.#waiting.get(id);
+    if (answer === undefined) return undefined;
+    this.#waiting.delete(id);
+    this.#held.delete(answer.memory);
+    return answer;
+  }
+
+  #sendLarge(answer: LargeAnswer): void {
+    const { frame } = answer;
     const mayPass = this.#held.size === this.#waiting.size;
     this.#held.add(answer.memory);
     this.#waiting.set(frame.id, answer);
@@ -71,14 +111,16 @@
     this.#held.forEach((memory) => this.#release(memory));
   }
 
-  #sendNow({ frame, memory }: LargeAnswer): void {
+  #sendNow({ frame, memory, isShared }: LargeAnswer): void {
     // One that was the next of its link may have room later.
     if (!this.#waiting.delete(frame.id)) return;
+    let isKept = isShared;
     this.#link.send(frame, () => {
       this.#release(memory);
-      freeBody(frame.body);
+      if (!isKept) freeBody(frame.body);
       this.#sendNext();
     });
+    isKept = this.#onSent(frame) || isShared;
   }
 
   #sendNext(): void {
--- a/packages/sidecar/peer_server.ts
+++ b/packages/sidecar/peer_server.ts
@@ -13,10 +13,10 @@
 import {
   Attempt,
   type MemoryAccount,
-  type MemoryReservation,
   type WorkerGate,
 } from "@oleanderdeck/serving";
-import { LinkAnswers } from "./_link_answers.ts";
+import { claimCalls } from "./_call_claims.ts";
+import { CallerLink, type ReceivedCall } from "./_caller_link.ts";
 import type { RequestObserver } from "./request_observer.ts";
 import type { ListenAddress } from "./sidecar_settings.ts";
 
@@ -48,16 +48,6 @@
   readonly observer?: RequestObserver;
 }
 
-/** Link from a caller's node, with the unfinished calls received on it. */
-interface CallerLink {
-  readonly link: Link;
-  readonly attempts: Map<number, Attempt>;
-  /** Memory of the bodies of the calls. */
-  readonly bodies: Map<number, MemoryReservation>;
-  readonly answers: LinkAnswers;
-  lastSentLoad: LoadReport;
-}
-
 /** Accepts links from other nodes and runs their calls on the local worker. */
 export class PeerServer {
   readonly #options: PeerServerOptions;
@@ -99,9 +89,9 @@
     }
   }
 
-  /** Checks all accepted links; see {@linkcode Link.check}. */
+  /** Checks all accepted links; see {@linkcode CallerLink.check}. */
   check(): void {
-    this.#links.forEach(({ link }) => link.check(false));
+    this.#links.forEach((entry) => entry.check());
   }
 
   /**
@@ -117,6 +107,7 @@
   }
 
   #accept(socket: Socket): void {
+    const { account } = this.#options;
     const hello = this.#options.hello();
     const link: Link = new Link(acceptedLinkSocket(socket), {
       onFrame: (frame) => this.#receive(frame, entry),
@@ -124,31 +115,30 @@
         frame.kind !== "call" || this.#acceptBody(frame, bytes, entry),
       onClose: () => {
         this.#links.delete(entry);
-        entry.attempts.forEach((attempt) => attempt.cancel());
-        // A call that the worker still runs holds its body until it ends.
-        entry.bodies.forEach((reservation, id) => {
-          if (!entry.attempts.has(id)) reservation.close();
-        });
-        entry.answers.close();
+        entry.close();
       },
     });
-    const entry: CallerLink = {
-      link,
-      attempts: new Map(),
-      bodies: new Map(),
-      answers: new LinkAnswers(link),
-      lastSentLoad: hello.load,
-    };
+    const entry = new CallerLink({ link, account, load: hello.load });
     this.#links.add(entry);
     link.send(hello);
   }
 
   #receive(frame: Frame, entry: CallerLink): void {
-    if (frame.kind === "call") this.#run(frame, entry);
-    else if (frame.kind === "cancel") {
-      entry.attempts.get(frame.id)?.cancel();
-      entry.answers.cancel(frame.id);
-    } else this.#options.onFrame(frame, entry.link);
+    switch (frame.kind) {
+      case "call":
+        return this.#run(frame, entry);
+      case "cancel":
+        return entry.cancel(frame.id);
+      case "claim":
+        return claimCalls(frame, {
+          claimant: entry,
+          links: [...this.#links],
+          load: this.#options.load(),
+        });
+      case "hello":
+        entry.identify(frame);
+    }
+    this.#options.onFrame(frame, entry.link);
   }
 
   // What is refused here was not sent to the worker.
@@ -169,40 +159,38 @@
   #run(frame: CallFrame, entry: CallerLink): void {
     const { id } = frame;
     const { gate, load, service } = this.#options;
+    entry.recordReceived(id);
     if (frame.service !== service) {
-      this.#releaseBody(id, entry);
+      entry.releaseBody(id);
       return this.#fail(id, entry, "worker_replaced", 0);
     }
     const { length } = frame.body;
     const needsMemory = length > 0 && !entry.bodies.has(id);
     if (needsMemory && !this.#acceptBody(frame, length, entry)) return;
     const attempt = new Attempt((result) => {
-      entry.attempts.delete(id);
-      this.#releaseBody(id, entry);
+      const { owner } = call;
+      owner.calls.delete(id);
+      owner.releaseBody(id);
       const report = load();
       this.#options.observer?.onWorkerResult(frame, result, report);
-      entry.lastSentLoad = report;
+      owner.lastSentLoad = report;
       if (result.kind === "answer") {
         const { memory, ...answer } = result;
-        entry.answers.send({ ...answer, id, load: report }, memory);
-      } else entry.link.send({ ...result, id, load: report });
+        owner.sendResult({ ...answer, id, load: report }, memory);
+      } else owner.sendResult({ ...result, id, load: report });
     });
-    entry.attempts.set(id, attempt);
+    const call: ReceivedCall = { attempt, owner: entry };
+    entry.calls.set(id, call);
     attempt.start((finish) => gate.run(frame, finish));
   }
 
-  #releaseBody(id: number, { bodies }: CallerLink): void {
-    bodies.get(id)?.close();
-    bodies.delete(id);
-  }
-
   #fail(
     id: number,
-    { link }: CallerLink,
+    entry: CallerLink,
     error: ErrorKind,
     retryAfterMs: number,
   ): void {
-    link.send({
+    entry.sendResult({
       kind: "failure",
       id,
       error,
