Tell which calls were refused after hosts had restarted

The test "killed and restarted hosts run no request twice" failed now and then on busy machines with one call or more of 310 not whole, and told neither its kind nor what the nodes saw. Where not all are whole it now prints the results of each kind of call and the last lines of all processes; what it expects is unchanged.

--- a/packages/demo/process_faults_test.ts
+++ b/packages/demo/process_faults_test.ts
@@ -4,6 +4,7 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
+import { inspect } from "node:util";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { loadDescriptionSchema, runLoad } from "@oleanderdeck/load";
 import {
@@ -28,6 +29,9 @@
 const TOKEN = "operator-token";
 const SLOTS = 8;
 
+/** Nothing of what a failed load has shown is left out. */
+const INSPECTED = { maxArrayLength: null, maxStringLength: null, depth: null };
+
 function service(name: string, ips: readonly string[]) {
   return {
     service: name,
@@ -177,6 +181,10 @@
   expect(await readViolations()).toEqual(NO_VIOLATIONS);
   expect(report.totals.attempts.outcomes.wrong_body ?? 0).toBe(0);
   const again = await load(nodes, 2000);
+  const { calls } = again;
+  if (again.totals.calls.outcomes.whole !== again.totals.sent) {
+    console.info(inspect({ calls, outputs: running.outputs() }, INSPECTED));
+  }
   expect(again.totals.calls.outcomes).toEqual({ whole: again.totals.sent });
 }, 60_000);
 
--- a/packages/demo/running_deployment.ts
+++ b/packages/demo/running_deployment.ts
@@ -122,6 +122,15 @@
     return codes.every((code) => code === 0);
   }
 
+  /** Returns the last lines that each process has written, by its name. */
+  outputs(): Readonly<Record<string, string>> {
+    return Object.fromEntries(
+      this.#hosts.flatMap(({ backend, node }) =>
+        [node, backend].map(({ name, output }) => [name, output()])
+      ),
+    );
+  }
+
   /** Reads the state of each backend server that is running. */
   readStandIns(): Promise<Awaited<ReturnType<typeof readStandIn>>[]> {
     return Promise.all(
