--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -1,19 +1,12 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import { Server as ListeningServer, type Socket } from "node:net";
-import type {
-  CallerLimits,
-  ConfigurationHolder,
-  Route,
-} from "@oleanderdeck/directory";
+import type { CallerLimits, Route } from "@oleanderdeck/directory";
 import { type EndTimes, listen } from "@oleanderdeck/hop";
 import {
-  type HeaderNames,
-  type MemoryAccount,
   rankOfNested,
   rankOfRoot,
   StopAdmission,
   type StopTimes,
-  type WorkerCall,
 } from "@oleanderdeck/serving";
 import {
   type AnswerCounts,
@@ -24,14 +17,11 @@
 import { RequestBodies } from "./_request_bodies.ts";
 import { RequestHeaderReader, timeLimitMs } from "./_request_header.ts";
 import { readTarget } from "./_request_target.ts";
+import type { RoutedHeader, RoutedRequest } from "./_routed_request.ts";
 import { type CallerRequest, CallTask, type TaskResult } from "./call_task.ts";
-import type {
-  CallerProxyObserver,
-  NestedCall,
-} from "./caller_proxy_observer.ts";
+import type { CallerProxyOptions } from "./caller_proxy_options.ts";
 import { RootShedding } from "./root_shedding.ts";
 import { RouteTable } from "./route_table.ts";
-import type { WorkerChannel } from "./worker_channel.ts";
 
 /** Latency target of a route that does not state one, in milliseconds. */
 const DEFAULT_LATENCY_TARGET_MS = 1_000;
@@ -57,43 +47,6 @@
 
 const UPGRADE_FIELD = "upgrade";
 
-/** Options of {@linkcode CallerProxy}. */
-export interface CallerProxyOptions {
-  /** Names of the platform's header fields. */
-  readonly names: HeaderNames;
-  /** Service of the worker on this host, sent to the called workers. */
-  readonly callerService: string;
-  readonly dataCentre: string;
-  readonly configuration: ConfigurationHolder;
-  /** Returns the channels to the current workers of a service. */
-  readonly channels: (service: string) => readonly WorkerChannel[];
-  /**
-   * Returns the pressure, 0 to 1: the overload of a service and of the services
-   * that calls of a route to it reach.
-   */
-  readonly pressureOf: (service: string, route: string) => number;
-  /** Called for each call that the worker makes while it runs a request. */
-  readonly onNestedCall: (call: NestedCall) => void;
-  /** Account of the memory for bodies, and for answers that wait. */
-  readonly account: MemoryAccount;
-  /**
-   * Returns the request that the worker on this host runs and that led to the
-   * call with the given request identity; undefined if the call begins a chain.
-   */
-  readonly parentRequestOf: (requestId: string) => WorkerCall | undefined;
-  /** Called when a call that the worker made for a request was refused. */
-  readonly onRefusedBelow: (request: WorkerCall) => void;
-  /**
-   * Whether the active configuration may be older than the one in the store.
-   */
-  readonly isConfigurationPossiblyOutdated: () => boolean;
-  /** Called with an error of the listener after its start. */
-  readonly onListenerError: (error: Error) => void;
-  /** Called with an unexpected error, which ends the request it belongs to. */
-  readonly onUnexpectedError: (error: unknown) => void;
-  readonly observer?: CallerProxyObserver;
-}
-
 /** HTTP proxy that receives the requests of the callers on this host. */
 export class CallerProxy {
   readonly #options: CallerProxyOptions;
@@ -435,22 +388,3 @@
     ? result.status >= 500 && result.isRefusedBelow
     : result.status === 503;
 }
-
-/** Header of a request with its route and service. */
-interface RoutedHeader {
-  readonly route: Route;
-  readonly service: string;
-  readonly requestId: string;
-  /** Path and query. */
-  readonly path: string;
-  readonly forwarded: readonly string[];
-  /**
-   * Time for which the caller waits, in milliseconds, as stated in the header.
-   */
-  readonly timeLeft: string | undefined;
-}
-
-/** Request with its route, its service and its body. */
-interface RoutedRequest extends RoutedHeader {
-  readonly body: Buffer;
-}
