--- a/packages/serving/_exchange.ts
+++ b/packages/serving/_exchange.ts
@@ -2,7 +2,7 @@
 import type { Client, Dispatcher } from "undici";
 import { BodyBuffer } from "./body_buffer.ts";
 import type { HeaderNames } from "./header_names.ts";
-import type { MemoryReservation } from "./memory_account.ts";
+import type { MemoryReservation } from "./memory_reservation.ts";
 import { type ParsedHeaders, parseHeaders } from "./parse_headers.ts";
 import type {
   AnswerStatement,
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -11,6 +11,13 @@
 export * from "./parse_headers.ts";
 export * from "./header_names.ts";
 export * from "./memory_account.ts";
+export {
+  type MemoryHolder,
+  type MemoryLimits,
+  memoryLimits,
+  type MemorySum,
+} from "./memory_limits.ts";
+export { MemoryReservation } from "./memory_reservation.ts";
 export * from "./overload_meter.ts";
 export * from "./rank.ts";
 export * from "./request_limit.ts";
--- a/packages/serving/worker_call.ts
+++ b/packages/serving/worker_call.ts
@@ -1,6 +1,6 @@
 import type { ErrorKind } from "@oleanderdeck/errors";
 import type { HeaderList, WorkerStatement } from "@oleanderdeck/hop";
-import type { MemoryReservation } from "./memory_account.ts";
+import type { MemoryReservation } from "./memory_reservation.ts";
 
 /** One call to the worker beside this node. */
 export interface WorkerCall {
