Close replaced links that the peer does not end

A link whose calls were claimed is left for the peer to end. A peer that had not read the hello frame of that link does not know it, so both sides held it for ever once it worked again, with a ping every second; a late claim on it could also fail calls that were under way on the current link.

The new test failed before ("expected false to be true" for the closed socket, after a second). The peer's "claimed" on the current link shows that no claim can be overtaken any more, so replaced links without calls are closed then. On an earlier link it shows nothing about a later claim and is not used.

--- a/packages/calling/peer_channel.ts
+++ b/packages/calling/peer_channel.ts
@@ -239,6 +239,13 @@
     this.#closeIfUnused(replaced);
   }
 
+  // The peer ends only those that it knows by their first frame. The claim of a
+  // later link may still be on its way.
+  #closeClaimed(link: Link): void {
+    if (link !== this.#link) return;
+    this.#replaced.forEach((replaced) => this.#closeIfUnused(replaced));
+  }
+
   #closeIfUnused(link: Link): void {
     if (!this.#replaced.has(link)) return;
     if (this.#pending.on(link).length === 0) link.close("replaced");
@@ -268,7 +275,8 @@
           retryAfterMs: frame.retryAfterMs,
         });
       case "claimed":
-        return this.#silentCalls.receive(frame, link);
+        this.#silentCalls.receive(frame, link);
+        return this.#closeClaimed(link);
       case "load":
         return;
       default:
--- a/packages/calling/peer_channel_test.ts
+++ b/packages/calling/peer_channel_test.ts
@@ -299,3 +299,33 @@
   await expect.poll(() => links[0]!.socket.destroyed).toBe(true);
   expect((await run(channel)).result).toMatchObject({ status: 200 });
 });
+
+// Guards against links that stay open for ever, because the peer has not read the
+// first frame of the one whose calls are claimed and so does not end it.
+test("a claimed link that the peer does not end is closed", async () => {
+  const sockets: Socket[] = [];
+  const claimed = helloPeer(
+    (frame, link) => {
+      if (frame.kind !== "claim") return;
+      link.send({ kind: "claimed", missingIds: [] });
+    },
+    "menus",
+    "process",
+  );
+  const channel = channelTo(
+    await startPeer((socket) => {
+      sockets.push(socket);
+      claimed(socket);
+    }),
+  );
+  const call = run(channel, { isIdempotent: false });
+  await expect.poll(() => sockets.length).toBe(1);
+  await expect.poll(() => channel.isReachable).toBe(true);
+  sockets[0]!.pause();
+  await expect.poll(() => sockets.length, { timeout: 2_000 }).toBe(2);
+  await expect.poll(() => channel.isReachable, { interval: 20 }).toBe(true);
+  sockets[0]!.resume();
+  await expect.poll(() => sockets[0]!.destroyed).toBe(true);
+  channel.close();
+  expect((await call).result).toMatchObject({ error: "connection_lost" });
+});
