Fail calls whose closing answer breaks off while it waits for memory

A worker that answers with "Connection: close" and breaks off while the answer waits for memory left its call without an outcome until its deadline, and its memory and slot with it. The error counted as unexpected, of which some end the process.

undici ends its parser when such a connection is reset or ended, and asserts that it is not paused; nothing catches that error. The new tests failed before in both cases, with "AssertionError: assert(!this.paused)" uncaught and the result undefined after a second.

A reset now has a code for which undici does not take the answer for complete, which it never is; an end resumes the parser first, which then finds the answer too short. An answer of which a chunk still waits is never complete.

--- a/packages/serving/_exchange.ts
+++ b/packages/serving/_exchange.ts
@@ -90,6 +90,8 @@
   #isCancelled = false;
   #isDone = false;
   #isReusable = false;
+  // The parser of undici may not be paused when its connection ends.
+  readonly #readEnd = () => this.#controller!.resume();
 
   constructor(call: WorkerCall, options: ExchangeOptions) {
     this.#call = call;
@@ -208,6 +210,7 @@
     if (reservation.grow(bytes)) return onRoom();
     this.#isWaiting = true;
     this.#controller!.pause();
+    this.#options.connection.socket?.prependOnceListener("end", this.#readEnd);
     reservation.waitFor(bytes, () => {
       onRoom();
       // Room may arise while the parser, which all connections share, is at work.
@@ -217,6 +220,7 @@
 
   #resume(): void {
     this.#isWaiting = false;
+    this.#options.connection.socket?.off("end", this.#readEnd);
     if (!this.#isDone && !this.#isUnusableAnswer) this.#controller!.resume();
   }
 
@@ -235,7 +239,7 @@
 
   onResponseEnd(): void {
     if (this.#isDone) return;
-    if (this.#isUnusableAnswer) return this.#fail(true);
+    if (this.#isUnusableAnswer || this.#isWaiting) return this.#fail(true);
     this.#isReusable = true;
     const { names } = this.#options;
     const { forwarded, values } = this.#headers;
--- a/packages/serving/endless_answers_test.ts
+++ b/packages/serving/endless_answers_test.ts
@@ -151,3 +151,31 @@
   expect(result.kind === "answer" && result.body.length).toBe(400_000);
   expect(account.heldBytes).toBe(0);
 });
+
+// Guards against undici's behaviour: its parser throws an error that nothing
+// catches when a connection of an answer that is not read breaks.
+test.each([
+  ["reset", (socket: Socket) => void socket.resetAndDestroy()],
+  ["ended", (socket: Socket) => void socket.end()],
+])("a closing answer that waits for room may be %s", async (_name, cut) => {
+  let socket: Socket | undefined;
+  const { account, send } = await start((request) => {
+    socket = request.socket;
+    socket.write(
+      `${
+        head(request.requestId)
+      }connection: close\r\ncontent-length: 400000\r\n\r\n`,
+    );
+  });
+  const others = account.open("worker_answers");
+  expect(others.grow(MAX_HELD_BYTES - 100_000)).toBe(true);
+  let result: WorkerResult | undefined;
+  void send("r1").then((received) => result = received);
+  await expect.poll(() => account.waiting).toBe(1);
+  cut(socket!);
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  others.close();
+  await expect.poll(() => result)
+    .toMatchObject({ error: "answer_cut", mayHaveRun: true });
+  expect(account.heldBytes).toBe(0);
+});
--- a/packages/serving/worker_connections.ts
+++ b/packages/serving/worker_connections.ts
@@ -34,6 +34,12 @@
  */
 const MAX_REFUSED_PER_CONNECTION = 200;
 
+/**
+ * Code in place of ECONNRESET, on which undici takes a closing answer for complete,
+ * or throws an error that nothing catches if the answer is paused.
+ */
+const RESET_CODE = "CONNECTION_RESET";
+
 /** Code of undici's error for a connection that the worker has closed. */
 const CLOSED_CODE = "UND_ERR_SOCKET";
 
@@ -197,6 +203,8 @@
         this.#connect(options, (error, socket) => {
           if (error !== null) return callback(error, null);
           connection.socket = socket!;
+          // Called before the listener of undici, which is added later.
+          socket!.on("error", hideReset);
           callback(null, socket!);
         }),
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -229,6 +237,10 @@
   }
 }
 
+function hideReset(error: NodeJS.ErrnoException): void {
+  if (error.code === "ECONNRESET") error.code = RESET_CODE;
+}
+
 function isRefusal(result: WorkerResult): boolean {
   return result.kind === "failure" && result.wasSent && !result.mayHaveRun;
 }
