Log how many calls are claimed on a link that replaces a silent one

On-call could not tell from link_opened whether calls of the silent link went on. The line has claimed_calls now; claimed_calls_test looks for it.

--- a/packages/calling/peer_channel.ts
+++ b/packages/calling/peer_channel.ts
@@ -225,7 +225,7 @@
       node: this.node,
       isOpen: true,
       reason: replaced === undefined ? "connected" : "silent link replaced",
-      lostCalls: 0,
+      claimedCalls: this.#pending.on(link).length,
     });
     this.#pending.sendUnsent(link);
   }
--- a/packages/calling/peer_channel_options.ts
+++ b/packages/calling/peer_channel_options.ts
@@ -30,5 +30,7 @@
   readonly isOpen: boolean;
   readonly reason: string;
   /** Number of calls that had no outcome when the link ended. */
-  readonly lostCalls: number;
+  readonly lostCalls?: number;
+  /** Number of calls on a silent link that were claimed on the opened one. */
+  readonly claimedCalls?: number;
 }
--- a/packages/sidecar/claimed_calls_test.ts
+++ b/packages/sidecar/claimed_calls_test.ts
@@ -111,6 +111,10 @@
     await silenced;
     expectServedOnce(answers);
     expect(elapsedMs).toBeLessThan(ANSWERED_MS);
+    await expect.poll(() => fleet.lines.join(""))
+      .toMatch(
+        /event=link_opened.*claimed_calls=[1-9]|claimed_calls=[1-9].*event=link_opened/,
+      );
   },
 );
 
--- a/packages/sidecar/worker_channels.ts
+++ b/packages/sidecar/worker_channels.ts
@@ -178,11 +178,14 @@
       account: this.#options.account,
       hello,
       onFrame,
-      onLinkStateChange: ({ isOpen, node, reason, lostCalls }) =>
+      onLinkStateChange: (
+        { isOpen, node, reason, lostCalls = 0, claimedCalls = 0 },
+      ) =>
         log.write("info", isOpen ? "link_opened" : "link_lost", {
           peer: node,
           reason,
           lost_calls: lostCalls,
+          claimed_calls: claimedCalls,
         }),
     });
     this.#peers.set(node, channel);
