--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -8,6 +8,8 @@
   #revision = 1;
   #waiting = [];
   #server;
+  /** Whether nothing is answered; what arrives meanwhile is not done. */
+  isSilent = false;
 
   constructor() {
     this.#server = createServer((request, response) =>
@@ -53,10 +55,11 @@
   async #handle(request, response) {
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
+    if (this.isSilent) return;
     const text = Buffer.concat(chunks).toString();
     const [status, content] = await this.#answer(request, text);
     const body = JSON.stringify(content);
-    if (response.destroyed) return;
+    if (response.destroyed || this.isSilent) return;
     response.writeHead(status, {
       "Content-Type": "application/json",
       "Content-Length": Buffer.byteLength(body),
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -37,8 +37,18 @@
   }
 
   beat() {
-    const { id, service, zone, host, port, slots } = this.options;
-    return this.tell("PUT", {
+    return this.tell("PUT", this.prepareBeat());
+  }
+
+  /** Sends no further heartbeats by itself. */
+  stopBeats() {
+    clearInterval(this.#timer);
+  }
+
+  /** Returns the content of the next heartbeat, which is still to be sent. */
+  prepareBeat() {
+    const { service, zone, host, port, slots } = this.options;
+    return {
       address: `${host}:${port}`,
       info: { service, version: "v1", zone, slots },
       status: {
@@ -47,7 +57,7 @@
         coldRemainingMs: 0,
       },
       born: this.born,
-    });
+    };
   }
 
   /** Resolves to the status of the answer; 0 without one within a second. */
