--- a/review/7/play.mjs
+++ b/review/7/play.mjs
@@ -9,14 +9,14 @@
 const HOSTS = ["127.0.47.1", "127.0.47.2", "127.0.47.3", "127.0.47.4"];
 const HOST_NAME = "jepu9.example";
 /** The store is silent for so long; the site has up to 8.0 s. */
-const STORE_SILENT_MS = 4_000;
+const STORE_SILENT_MS = 3_000;
 /** Time from the start of the silence to the DELETE of the worker. */
 const LEAVE_AFTER_MS = 300;
 /** Time from the acknowledgement to the kill of all nodes, and to their start. */
 const KILL_AFTER_MS = 300;
 const RESTART_AFTER_MS = 300;
-/** Times from the start of the nodes to the late heartbeats. */
-const LATE_BEATS_MS = [1_000, 2_200];
+/** Times of the late heartbeats, counted from when the store answers again. */
+const LATE_BEATS_MS = [-600, 800];
 /** The worker serves on for so long behind the acknowledgement. */
 const SERVES_ON_MS = 14_000;
 const DRAIN_MS = 2_000;
@@ -93,8 +93,16 @@
 await sleep(RESTART_AFTER_MS);
 stage.machines.forEach((machine) => machine.start());
 const startedAt = now();
+// The readiness check is answered, with 200 or not, as soon as the node listens.
+const readiness = { host: HOSTS[0], port: stage.ports.readiness };
+while (true) {
+  const check = { path: "/readyz", authority: "platform", timeoutMs: 1_000 };
+  if ((await send(readiness, check)).outcome === "answered") break;
+  await sleep(50);
+}
 for (const [index, beat] of lateBeats.entries()) {
-  await sleep(startedAt + LATE_BEATS_MS[index] - now());
+  const aboutAt = firstSentAt + 1_500 + STORE_SILENT_MS;
+  await sleep(aboutAt + LATE_BEATS_MS[index] - now());
   const answer = await leaving.tell("PUT", beat);
   const lateMs = Math.round(now() - sentAt[index]);
   stage.note(`a heartbeat arrives ${lateMs} ms late, answered with ${answer}`);
