Read all header fields of callers' requests

What callers saw: a request with more than 1,000 header fields, far inside maxHeaderBytes, was run with an empty body and answered 200; some of its fields were missing at the worker (UNASKED). Cause: Node.js keeps the first 1,000 fields of a header and drops the others without an error, while its parser frames the body by all of them. Behind the limit, neither Content-Length nor Transfer-Encoding was seen, so the request counted as one without a body. Evidence: in header_fields_test the body is whole at the parser and absent from the call; the hop and the worker's connection pass 2,500 fields on as they are. Change: the server of callers has no limit on the number of fields. The length of the header limits it, and a longer header is refused with 431.

--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -124,6 +124,9 @@
         this.#connections.get(request.socket)?.refuseExpectation(response),
     );
     this.#server.on("connection", (socket) => this.#accept(socket));
+    // Node.js would leave out all fields behind the first 1,000, also those that say
+    // where the body ends. Their number is limited by the length of the header.
+    this.#server.maxHeadersCount = 0;
     this.#server.requestTimeout = 0;
     this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
       if (!socket.writable || error.code === "ECONNRESET") {
