Read all header fields in the daemon's call server

The daemon forwarded a request with 1,200 fields without those behind the first 1,000. Change: no limit on the number of fields; the header has 16 KiB at most. The backend server stand-in reads all fields as well. Result: malformed_requests_test, "a request with many header fields runs with its body", failed before (the last field was missing at the worker) and passes.

--- a/packages/calls/call_server.ts
+++ b/packages/calls/call_server.ts
@@ -102,6 +102,9 @@
       keepAliveTimeout: CALLER_IDLE_TIMEOUT_MS,
     }, (request, response) => this.#accept(request, response));
     this.#server.on("clientError", refuseUnparsable);
+    // Node.js would leave out all fields behind the first 1,000, also those that say
+    // where the body ends. Their number is limited by the length of the header.
+    this.#server.maxHeadersCount = 0;
   }
 
   /** Number of calls in flight. */
--- a/packages/calls/malformed_requests_test.ts
+++ b/packages/calls/malformed_requests_test.ts
@@ -161,3 +161,39 @@
   expect(received.match(/HTTP\/1\.1 503/g)).toHaveLength(2);
   socket.destroy();
 });
+
+// Guards against a request that runs without its body, since Node.js leaves out the
+// fields behind the first 1,000 that say how long it is.
+test("a request with many header fields runs with its body", async () => {
+  let received = "";
+  const address = await fixture.rawServer((socket) =>
+    socket.on("data", (chunk) => {
+      received += chunk.toString("latin1");
+      if (!received.includes("\r\n\r\n")) return;
+      socket.end("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+    })
+  );
+  const callServer = await fixture.callServer({
+    menus: [directTarget(address)],
+  });
+  const fields = Array.from({ length: 1_200 }, (_, index) => `x${index}: 1`);
+  const [host, port] = callServer.address.split(":");
+  const socket = connect(Number(port), host);
+  let answer = "";
+  socket.on("data", (chunk) => answer += chunk.toString("latin1"));
+  socket.write(
+    [
+      "POST /menus/list HTTP/1.1",
+      "host: node",
+      ...fields,
+      "connection: close",
+      "content-length: 4",
+      "",
+      "soup",
+    ].join("\r\n"),
+  );
+  await once(socket, "close");
+  expect(answer).toMatch(/^HTTP\/1.1 200 /);
+  expect(received).toContain("x1199: 1\r\n");
+  expect(received).toMatch(/\r\n\r\nsoup$/);
+});
--- a/packages/testing/backend_stand_in.ts
+++ b/packages/testing/backend_stand_in.ts
@@ -84,6 +84,8 @@
       { keepAliveTimeout: 65_000 },
       (request, response) => this.#handleRequest(request, response),
     );
+    // Node.js would leave out all fields behind the first 1,000.
+    this.#server.maxHeadersCount = 0;
   }
 
   /** Number of requests that hold a slot. */
