--- a/packages/hop/frame_codec_test.ts
+++ b/packages/hop/frame_codec_test.ts
@@ -49,6 +49,17 @@
   expect(decode(encode(call))[0]).toEqual(call);
 });
 
+// Guards against header fields that are lost, or moved, where they outnumber the
+// strings that a link keeps.
+test("all of many header fields arrive in their order", () => {
+  const headers = Array.from(
+    { length: 8_000 },
+    (_, index) => `x${index % 700}`,
+  );
+  const calls = [1, 2].map((id) => ({ ...call, id, headers }));
+  expect(decode(encode(...calls))).toEqual(calls);
+});
+
 test("a first frame states the kinds of frames that its sender knows", () => {
   const hello: Frame = {
     kind: "hello",
