Count the fields of headers in the memory of callers' requests

With all fields read, 300 connections that hold uploads of 2,000 short header fields ended a process of 160 MB, and so did headers and trailers that never end. Cause: a request counted with the text of its header. A field of a few bytes takes 70 bytes on the heap while its header is read and 120 to 155 with a request, and Node.js had dropped what was beyond 1,000 fields. What is read of an incomplete header, or of trailers, was in no account; a refused request kept its header as long as its connection. Change: 160 bytes for each field besides the text; parts of headers and trailers are reserved as they are parsed, and refused with 503 without room; a request drops its header at its end.

--- a/packages/calling/_answer_writer.ts
+++ b/packages/calling/_answer_writer.ts
@@ -2,7 +2,7 @@
 import { ERROR_DETAILS, type ErrorKind } from "@oleanderdeck/errors";
 import { freeBody } from "@oleanderdeck/hop";
 import type { MemoryAccount, MemoryReservation } from "@oleanderdeck/serving";
-import type { Exchange } from "./_caller_connection.ts";
+import { type Exchange, NO_MEMORY } from "./_caller_connection.ts";
 import type { CallerRequest, TaskAnswer } from "./call_task.ts";
 import type { CallerProxyObserver } from "./caller_proxy_observer.ts";
 
@@ -209,16 +209,17 @@
     : Number(length) > MAX_UNREAD_BYTES;
 }
 
-/** Status of the answer to input on which the HTTP parser fails, by its code. */
+/** Status of the answer to input that is not read on, by the code of the error. */
 const PARSER_ERROR_STATUSES: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
   ERR_HTTP_REQUEST_TIMEOUT: 408,
+  [NO_MEMORY]: 503,
 };
 
 /**
  * Returns the bytes of the answer to input that is not a valid request.
  *
- * @param code Code of the error of the HTTP parser.
+ * @param code Code of the error of the HTTP parser, or `NO_MEMORY`.
  */
 export function malformedAnswer(code: string | undefined): string {
   const status = PARSER_ERROR_STATUSES[code ?? ""] ?? 400;
--- a/packages/calling/_caller_connection.ts
+++ b/packages/calling/_caller_connection.ts
@@ -8,6 +8,7 @@
 import type { MemoryAccount, MemoryReservation } from "@oleanderdeck/serving";
 import { BoundedInput } from "./bounded_input.ts";
 import type { ClientLimit, ClientLimits } from "./client_limits.ts";
+import { headerBytes, headerPartBytes } from "./_header_memory.ts";
 
 /**
  * Maximum number of requests of one connection that are in progress at the same
@@ -23,8 +24,8 @@
 const LINGER_MS = 1_000;
 
 /**
- * Memory of a request and its response besides the text of the header, in bytes:
- * objects of Node.js and of this package.
+ * Memory of a request and its response besides the header, in bytes: objects of
+ * Node.js and of this package.
  */
 const REQUEST_BYTES = 4_096;
 
@@ -34,6 +35,9 @@
  */
 const SHORT_SHARE = 0.5;
 
+/** Code, beside those of the HTTP parser, of a header for which there is no room. */
+export const NO_MEMORY = "ERR_NO_MEMORY";
+
 /** HTTP request of a caller and the response to it. */
 export class Exchange {
   readonly request: IncomingMessage;
@@ -58,10 +62,7 @@
   ) {
     this.request = request;
     this.response = response;
-    this.bytes = request.rawHeaders.reduce(
-      (sum, { length }) => sum + length,
-      REQUEST_BYTES,
-    );
+    this.bytes = REQUEST_BYTES + headerBytes(request.rawHeaders);
     this.#connection = connection;
   }
 
@@ -73,11 +74,16 @@
     this.#endListeners.push(listener);
   }
 
-  /** Calls the listeners of the end, unless they were called before. */
+  /**
+   * Calls the listeners of the end, unless they were called before, and drops the
+   * header, which Node.js keeps as long as the connection if the body is not read.
+   */
   end(): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#endListeners.forEach((listener) => listener());
+    this.request.rawHeaders = [];
+    this.request.headers = {};
   }
 
   /**
@@ -99,7 +105,7 @@
   /**
    * Returns the bytes of the answer to input that is not a valid request.
    *
-   * @param code Code of the error of the HTTP parser.
+   * @param code Code of the error of the HTTP parser, or {@linkcode NO_MEMORY}.
    */
   readonly malformedAnswer: (code: string | undefined) => string;
   /** Account of the memory for requests. */
@@ -133,6 +139,8 @@
   #isUnread = false;
   /** Memory of the requests, and of what was read behind them. */
   readonly #reservation: MemoryReservation;
+  /** Reserved bytes of a header, or of trailers, that are incomplete. */
+  #headerPartBytes = 0;
 
   /**
    * @param socket Socket of the connection.
@@ -145,6 +153,8 @@
       isFull: () => this.#isFull(),
       onHeld: (bytes) => this.#onHeld(bytes),
       onReadOn: (bytes) => this.#reservation.shrink(bytes),
+      onHeaderPart: (part) => this.#reserveHeaderPart(part),
+      onHeaderEnd: () => this.#releaseHeaderPart(),
     });
     this.#reservation = options.account.open("client_requests");
     socket.once("close", () => this.#onClosed());
@@ -192,9 +202,10 @@
 
   /**
    * Ends the connection with an error answer because its input is not a valid
-   * request. The answers to the requests before it are written first.
+   * request, or is not read on. The answers to the requests before it are written
+   * first.
    *
-   * @param code Code of the error of the HTTP parser.
+   * @param code Code of the error of the HTTP parser, or {@linkcode NO_MEMORY}.
    */
   endMalformed(code: string | undefined): void {
     this.#input.stop();
@@ -307,6 +318,22 @@
     this.#socket.destroy();
   }
 
+  #reserveHeaderPart(part: Buffer): void {
+    const bytes = headerPartBytes(part);
+    if (this.#reservation.growAhead(bytes)) {
+      this.#headerPartBytes += bytes;
+      return;
+    }
+    this.#options.onLimit("requests_held");
+    this.endMalformed(NO_MEMORY);
+  }
+
+  #releaseHeaderPart(): void {
+    if (this.#headerPartBytes === 0) return;
+    this.#reservation.shrink(this.#headerPartBytes);
+    this.#headerPartBytes = 0;
+  }
+
   // The requests before it are answered first.
   #refuse(exchange: Exchange): void {
     this.#isClosing = true;
@@ -314,6 +341,7 @@
     this.#options.onLimit("requests_held");
     exchange.response.shouldKeepAlive = false;
     this.#options.refuse(exchange);
+    exchange.end();
   }
 
   #writeLastAnswer(): void {
--- a/packages/calling/bounded_input.ts
+++ b/packages/calling/bounded_input.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { CountedRequest } from "./_counted_request.ts";
 
 /**
  * Bytes that the HTTP parser gets at once where a request may begin. It parses all
@@ -10,6 +11,9 @@
 /** Beginning of the end of a body in chunks, behind the chunk before it. */
 const LAST_CHUNK = "\r\n0";
 
+/** End of a header, and of trailers. */
+const HEADER_END = "\r\n\r\n";
+
 const EMPTY: Buffer = Buffer.alloc(0);
 
 /** Events by which Node.js stops to read while its parser is paused. */
@@ -27,6 +31,10 @@
   readonly onHeld: (bytes: number) => void;
   /** Called when reading goes on, with the same number of bytes. */
   readonly onReadOn: (bytes: number) => void;
+  /** Called with parsed bytes of a header, or of trailers, that are incomplete. */
+  readonly onHeaderPart?: (part: Buffer) => void;
+  /** Called when the parser holds no such bytes any more. */
+  readonly onHeaderEnd?: () => void;
 }
 
 /**
@@ -43,6 +51,10 @@
   /** Bytes that were read and not parsed. */
   #held: Buffer | undefined;
   #last: IncomingMessage | undefined;
+  /** Length of its body as its header states it. */
+  #statedLength: string | undefined;
+  /** Whether a request was begun in the piece that is being parsed. */
+  #hasBegun = false;
   /** Bytes parsed behind the piece with the end of the last header. */
   #bytesBehindHeader = 0;
   /** Last bytes parsed, in which the end of a body may begin. */
@@ -94,6 +106,8 @@
   /** Tells which request the parser has begun. */
   begin(request: IncomingMessage): void {
     this.#last = request;
+    this.#statedLength = request.headers["content-length"];
+    this.#hasBegun = true;
     this.#bytesBehindHeader = 0;
   }
 
@@ -162,7 +176,7 @@
     this.#held = length < held.length ? held.subarray(length) : undefined;
     const last = this.#last;
     const piece = length < held.length ? held.subarray(0, length) : held;
-    this.#parse(piece);
+    this.#parseWatched(piece);
     if (this.#last === last) this.#bytesBehindHeader += length;
     else this.#mayEnd = false;
     if (this.#last === undefined || this.#last.complete) return;
@@ -170,6 +184,28 @@
     this.#tail = piece.subarray(-2);
   }
 
+  /** Parses a piece and tells what it leaves of a header that is incomplete. */
+  #parseWatched(piece: Buffer): void {
+    const { onHeaderEnd, onHeaderPart } = this.#options;
+    const body = this.#last?.complete === false ? this.#last : undefined;
+    const bodyBytes = bodyBytesOf(body);
+    this.#hasBegun = false;
+    this.#parse(piece);
+    if (this.#isStopped) return;
+    if (this.#hasBegun) {
+      onHeaderEnd?.();
+      if (this.#last?.complete !== false) this.#reportRest(piece);
+    } else if (body?.complete || bodyBytesOf(body) !== bodyBytes) {
+      onHeaderEnd?.();
+    } else onHeaderPart?.(piece);
+  }
+
+  /** Reports what stands behind the last request of a piece. */
+  #reportRest(piece: Buffer): void {
+    const rest = piece.subarray(headerEnd(piece));
+    if (rest.length > 0) this.#options.onHeaderPart?.(rest);
+  }
+
   #beginsLastChunk(piece: Buffer): boolean {
     return Buffer.concat([this.#tail, piece.subarray(0, 2)])
       .includes(LAST_CHUNK);
@@ -183,16 +219,15 @@
     }
     return Math.min(
       length,
-      Math.max(SLICE_BYTES, this.#bodyLength(last, held)),
+      Math.max(SLICE_BYTES, this.#bodyLength(held)),
     );
   }
 
   /** Number of the held bytes that are certainly of a body and no request. */
-  #bodyLength({ headers }: IncomingMessage, held: Buffer): number {
-    const stated = headers["content-length"];
-    if (stated !== undefined) {
+  #bodyLength(held: Buffer): number {
+    if (this.#statedLength !== undefined) {
       // Some of the body may have been in the piece with the end of the header.
-      return Number(stated) - this.#bytesBehindHeader - SLICE_BYTES;
+      return Number(this.#statedLength) - this.#bytesBehindHeader - SLICE_BYTES;
     }
     if (this.#mayEnd || this.#beginsLastChunk(held)) return 0;
     const end = held.indexOf(LAST_CHUNK);
@@ -222,3 +257,15 @@
     if (bytes !== undefined && bytes > 0) this.#options.onReadOn(bytes);
   }
 }
+
+// Behind the last header that ends in a piece. If there is no such end as a whole,
+// it began in the piece before.
+function headerEnd(piece: Buffer): number {
+  const end = piece.lastIndexOf(HEADER_END);
+  if (end >= 0) return end + HEADER_END.length;
+  return piece.subarray(0, HEADER_END.length - 1).lastIndexOf("\n") + 1;
+}
+
+function bodyBytesOf(request: IncomingMessage | undefined): number {
+  return request instanceof CountedRequest ? request.bodyBytes : 0;
+}
--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -21,6 +21,7 @@
 import { CallerConnection, type Exchange } from "./_caller_connection.ts";
 import { CallerIdentification } from "./_caller_identification.ts";
 import { ChainStarts } from "./_chain_starts.ts";
+import { CountedRequest } from "./_counted_request.ts";
 import { isLastOfConnection, lacksHost } from "./_connection_fields.ts";
 import type { RefusedCaller } from "./caller_identity.ts";
 import { RequestBodies } from "./_request_bodies.ts";
@@ -108,6 +109,7 @@
         // Node.js would answer a request without this field itself, and any
         // number of them at once.
         requireHostHeader: false,
+        IncomingMessage: CountedRequest,
       },
       (request, response) => {
         if (isLastOfConnection(request)) response.shouldKeepAlive = false;
--- a/packages/calling/header_fields_test.ts
+++ b/packages/calling/header_fields_test.ts
@@ -1,5 +1,9 @@
 import { afterEach, expect, test } from "vitest";
-import { startProxy, type TestProxyOptions } from "./_test_proxy.ts";
+import {
+  requestText,
+  startProxy,
+  type TestProxyOptions,
+} from "./_test_proxy.ts";
 
 /** Number of header fields up to which Node.js reads them by default. */
 const DEFAULT_FIELDS = 1_000;
@@ -60,3 +64,45 @@
     .toEqual(shortFields(MANY_FIELDS));
   expect(lines).toContain("x-last:end");
 });
+
+// Guards against headers of many short fields that fill the heap, since each field
+// takes many times its text.
+test("header fields count with their memory while they are held", async () => {
+  const { account, caller } = await start({ delayMs: () => 300 });
+  const held = () => account.heldBytesOf("client_requests");
+  const text = requestWith(MANY_FIELDS);
+  caller.socket.write(text.slice(0, -2));
+  await expect.poll(held).toBeGreaterThan(100 * MANY_FIELDS);
+  caller.socket.write(text.slice(-2));
+  await expect.poll(() => caller.answers).toMatchObject([{ status: 200 }]);
+  expect(held()).toBe(0);
+});
+
+// Guards against the same in trailers, which are read and dropped.
+test("trailers count while they are held", async () => {
+  const { account, caller, channel } = await start();
+  const held = () => account.heldBytesOf("client_requests");
+  const chunks = `1\r\nx\r\n0\r\n${shortFields(MANY_FIELDS).join("\r\n")}`;
+  caller.socket.write(requestWith(0, "Transfer-Encoding: chunked") + chunks);
+  await expect.poll(held).toBeGreaterThan(100 * MANY_FIELDS);
+  caller.socket.write("\r\n\r\n");
+  await expect.poll(() => caller.answers).toMatchObject([{ status: 200 }]);
+  expect(channel.calls[0]!.body.toString()).toBe("x");
+  expect(held()).toBe(0);
+});
+
+// Guards against a refusal that cuts off the answers before it, or that is no
+// promise.
+test("a header without memory is refused behind earlier answers", async () => {
+  const { caller, ran } = await start({
+    delayMs: () => 200,
+    maxRequestBytes: 50_000,
+  });
+  caller.socket.write(requestText("r0") + requestWith(MANY_FIELDS));
+  await expect.poll(() => caller.socket.readableEnded).toBe(true);
+  expect(caller.answers).toMatchObject([
+    { status: 200, requestId: "r0" },
+    { status: 503, isClosing: true },
+  ]);
+  expect(ran).toEqual(["r0"]);
+});
