Move the exchange of a caller's request into a module of its own

Change: Exchange stands in _exchange.ts and gets the decision on a close as a function; nothing else changes.

--- a/packages/calling/_answer_writer.ts
+++ b/packages/calling/_answer_writer.ts
@@ -2,7 +2,8 @@
 import { ERROR_DETAILS, type ErrorKind } from "@oleanderdeck/errors";
 import { freeBody } from "@oleanderdeck/hop";
 import type { MemoryAccount, MemoryReservation } from "@oleanderdeck/serving";
-import { type Exchange, NO_MEMORY } from "./_caller_connection.ts";
+import { NO_MEMORY } from "./_caller_connection.ts";
+import type { Exchange } from "./_exchange.ts";
 import type { CallerRequest, TaskAnswer } from "./call_task.ts";
 import type { CallerProxyObserver } from "./caller_proxy_observer.ts";
 
--- a/packages/calling/_caller_connection.ts
+++ b/packages/calling/_caller_connection.ts
@@ -8,7 +8,8 @@
 import type { MemoryAccount, MemoryReservation } from "@oleanderdeck/serving";
 import { BoundedInput } from "./bounded_input.ts";
 import type { ClientLimit, ClientLimits } from "./client_limits.ts";
-import { headerBytes, headerPartBytes } from "./_header_memory.ts";
+import { Exchange } from "./_exchange.ts";
+import { headerPartBytes } from "./_header_memory.ts";
 
 /**
  * Maximum number of requests of one connection that are in progress at the same
@@ -23,12 +24,6 @@
  */
 const LINGER_MS = 1_000;
 
-/**
- * Memory of a request and its response besides the header, in bytes: objects of
- * Node.js and of this package.
- */
-const REQUEST_BYTES = 4_096;
-
 /**
  * Share of the memory for requests above which a connection is read only when it
  * has no request, so that each has its turn and none has to be refused.
@@ -38,64 +33,6 @@
 /** Code, beside those of the HTTP parser, of a header for which there is no room. */
 export const NO_MEMORY = "ERR_NO_MEMORY";
 
-/** HTTP request of a caller and the response to it. */
-export class Exchange {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  /** Time at which the header was complete, as of `performance.now()`. */
-  readonly arrivedAt = performance.now();
-  /** Memory that the request takes besides its body, in bytes. */
-  readonly bytes: number;
-  readonly #connection: CallerConnection;
-  readonly #endListeners: (() => void)[] = [];
-  #isEnded = false;
-
-  /**
-   * @param request Request with its complete header.
-   * @param response Response that is not written yet.
-   * @param connection Connection of the request.
-   */
-  constructor(
-    request: IncomingMessage,
-    response: ServerResponse,
-    connection: CallerConnection,
-  ) {
-    this.request = request;
-    this.response = response;
-    this.bytes = REQUEST_BYTES + headerBytes(request.rawHeaders);
-    this.#connection = connection;
-  }
-
-  /**
-   * Registers a listener that is called once, when the answer was written or the
-   * connection has closed.
-   */
-  onEnd(listener: () => void): void {
-    this.#endListeners.push(listener);
-  }
-
-  /**
-   * Calls the listeners of the end, unless they were called before, and drops the
-   * header, which Node.js keeps as long as the connection if the body is not read.
-   */
-  end(): void {
-    if (this.#isEnded) return;
-    this.#isEnded = true;
-    this.#endListeners.forEach((listener) => listener());
-    this.request.rawHeaders = [];
-    this.request.headers = {};
-  }
-
-  /**
-   * Whether the answer may close the connection; true if all earlier ones are made
-   * and no request that was read stands behind this one. None is then started any
-   * more.
-   */
-  claimClose(): boolean {
-    return this.#connection.claimClose(this);
-  }
-}
-
 /** Options of {@linkcode CallerConnection}. */
 export interface CallerConnectionOptions {
   /** Starts the work on a request. */
@@ -167,7 +104,11 @@
     // Nothing behind a close is served.
     if (this.#isClosing) return this.#input.stop();
     this.#input.begin(request);
-    const exchange = new Exchange(request, response, this);
+    const exchange = new Exchange(
+      request,
+      response,
+      (exchange) => this.#claimClose(exchange),
+    );
     if (!this.#reservation.growAhead(exchange.bytes)) {
       return this.#refuse(exchange);
     }
@@ -187,8 +128,8 @@
     response.writeHead(417, ["Content-Length", "0"]).end();
   }
 
-  /** See {@linkcode Exchange.claimClose}. */
-  claimClose(exchange: Exchange): boolean {
+  // See Exchange.claimClose.
+  #claimClose(exchange: Exchange): boolean {
     const isLast = this.#started.at(-1) === exchange &&
       this.#waiting.length === 0 && this.#input.isEmpty;
     // Behind an answer that is not made yet, the close would come late, and what
--- a/packages/calling/_request_bodies.ts
+++ b/packages/calling/_request_bodies.ts
@@ -5,7 +5,7 @@
   type MemoryReservation,
 } from "@oleanderdeck/serving";
 import type { RefusalDetails } from "./_answer_writer.ts";
-import type { Exchange } from "./_caller_connection.ts";
+import type { Exchange } from "./_exchange.ts";
 
 /**
  * Maximum number of bytes of a refused body that are read and thrown away. A
--- a/packages/calling/_request_tokens.ts
+++ b/packages/calling/_request_tokens.ts
@@ -1,4 +1,4 @@
-import type { Exchange } from "./_caller_connection.ts";
+import type { Exchange } from "./_exchange.ts";
 import type { QuotaClaim, RequestQuota } from "./request_quota.ts";
 
 /** Request that needs a token of its organisation's limit. */
--- a/packages/calling/caller_proxy.ts
+++ b/packages/calling/caller_proxy.ts
@@ -18,7 +18,8 @@
   AnswerWriter,
   malformedAnswer,
 } from "./_answer_writer.ts";
-import { CallerConnection, type Exchange } from "./_caller_connection.ts";
+import { CallerConnection } from "./_caller_connection.ts";
+import type { Exchange } from "./_exchange.ts";
 import { CallerIdentification } from "./_caller_identification.ts";
 import { ChainStarts } from "./_chain_starts.ts";
 import { CountedRequest } from "./_counted_request.ts";
